--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# golangci-lint is installed by version and not through a tool directive,
+# because the module graph of a tools module needs a go.mod file that the
+# module proxy does not serve. "go install" prunes it.
+GOLANGCI_LINT_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+SEED ?= 1
+DURATION ?= 60s
+
+.PHONY: all build test lint fmt vet unit demo generate clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test: lint vet unit
+
+$(LINT):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run
+
+fmt: $(LINT)
+	$(LINT) fmt
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race ./...
+
+# Needs protoc (Debian package protobuf-compiler). CI does not run this.
+generate:
+	cd tools && GOBIN=$(BIN) go install tool
+	PATH=$(BIN):$$PATH go generate ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/code.go
@@ -0,0 +1,198 @@
+package bergamotdale
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome states whether the call behind a response was executed.
+type Outcome string
+
+const (
+	// OutcomeRun means that an endpoint executed the call.
+	OutcomeRun Outcome = "run"
+	// OutcomeNotRun means that no endpoint executed the call or ever will.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that an endpoint may have executed the call.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Code is a numbered result. The numbers are stable; docs/results.md lists
+// them, and a test compares that table with this file.
+type Code int
+
+// Results caused by the request itself.
+const (
+	CodeInvalidJSON        Code = 101
+	CodeBodyTooLarge       Code = 102
+	CodeInvalidRequest     Code = 103
+	CodeMissingKey         Code = 104
+	CodeKeyReused          Code = 105
+	CodeInvalidCredentials Code = 106
+)
+
+// Results that depend on the configuration in force.
+const (
+	CodeUnknownWorkspace     Code = 201
+	CodeUnknownModel         Code = 202
+	CodeUnknownService       Code = 203
+	CodeUnknownPriorityClass Code = 204
+	CodeModelNotAllowed      Code = 205
+	CodeNoConfiguration      Code = 206
+)
+
+// Results of admission control.
+const (
+	CodeOverloaded       Code = 301
+	CodeWaitTooLong      Code = 302
+	CodeQuotaExceeded    Code = 303
+	CodeQuarantined      Code = 304
+	CodeNoEndpoint       Code = 305
+	CodeRetryBudgetSpent Code = 306
+	CodeStopping         Code = 307
+)
+
+// Results of calls that may run at most once.
+const (
+	CodeInProgress       Code = 401
+	CodeOutcomeUnknown   Code = 402
+	CodeStoreUnavailable Code = 403
+	CodeAnswerNotKept    Code = 404
+)
+
+// Results of a failure at or on the way to an endpoint.
+const (
+	CodeEndpointRefused  Code = 501
+	CodeEndpointFailed   Code = 502
+	CodeStreamLost       Code = 503
+	CodeDeadlineExceeded Code = 504
+)
+
+// Results inside the fleet.
+const (
+	CodeNotOwner Code = 601
+	CodeInternal Code = 602
+	CodePeer     Code = 603
+)
+
+// codeInfo holds the fixed properties of a code.
+type codeInfo struct {
+	name   string
+	status int
+	// retry is true where a later retry of the same request can succeed.
+	retry bool
+}
+
+var codes = map[Code]codeInfo{
+	CodeInvalidJSON:          {"invalid-json", http.StatusBadRequest, false},
+	CodeBodyTooLarge:         {"body-too-large", http.StatusRequestEntityTooLarge, false},
+	CodeInvalidRequest:       {"invalid-request", http.StatusBadRequest, false},
+	CodeMissingKey:           {"missing-idempotency-key", http.StatusBadRequest, false},
+	CodeKeyReused:            {"idempotency-key-reused", http.StatusUnprocessableEntity, false},
+	CodeInvalidCredentials:   {"invalid-credentials", http.StatusUnauthorized, false},
+	CodeUnknownWorkspace:     {"unknown-workspace", http.StatusNotFound, false},
+	CodeUnknownModel:         {"unknown-model", http.StatusNotFound, false},
+	CodeUnknownService:       {"unknown-service", http.StatusNotFound, false},
+	CodeUnknownPriorityClass: {"unknown-priority-class", http.StatusBadRequest, false},
+	CodeModelNotAllowed:      {"model-not-allowed", http.StatusForbidden, false},
+	CodeNoConfiguration:      {"no-configuration", http.StatusServiceUnavailable, true},
+	CodeOverloaded:           {"overloaded", http.StatusServiceUnavailable, true},
+	CodeWaitTooLong:          {"wait-too-long", http.StatusServiceUnavailable, true},
+	CodeQuotaExceeded:        {"quota-exceeded", http.StatusTooManyRequests, true},
+	CodeQuarantined:          {"quarantined", http.StatusUnprocessableEntity, true},
+	CodeNoEndpoint:           {"no-endpoint", http.StatusServiceUnavailable, true},
+	CodeRetryBudgetSpent:     {"retry-budget-spent", http.StatusServiceUnavailable, true},
+	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
+	CodeInProgress:           {"in-progress", http.StatusConflict, true},
+	CodeOutcomeUnknown:       {"outcome-unknown", http.StatusConflict, false},
+	CodeStoreUnavailable:     {"store-unavailable", http.StatusServiceUnavailable, true},
+	CodeAnswerNotKept:        {"answer-not-kept", http.StatusConflict, false},
+	CodeEndpointRefused:      {"endpoint-refused", http.StatusServiceUnavailable, true},
+	CodeEndpointFailed:       {"endpoint-failed", http.StatusBadGateway, false},
+	CodeStreamLost:           {"stream-lost", http.StatusBadGateway, true},
+	CodeDeadlineExceeded:     {"deadline-exceeded", http.StatusGatewayTimeout, false},
+	CodeNotOwner:             {"not-owner", http.StatusMisdirectedRequest, true},
+	CodeInternal:             {"internal", http.StatusInternalServerError, false},
+	CodePeer:                 {"peer-unreachable", http.StatusBadGateway, true},
+}
+
+// Codes returns every defined code.
+func Codes() []Code {
+	all := make([]Code, 0, len(codes))
+	for c := range codes {
+		all = append(all, c)
+	}
+	return all
+}
+
+// String returns the stable kebab-case name of the code.
+func (c Code) String() string {
+	if info, ok := codes[c]; ok {
+		return info.name
+	}
+	return fmt.Sprintf("code-%d", int(c))
+}
+
+// HTTPStatus returns the status of a response that carries the code.
+func (c Code) HTTPStatus() int {
+	if info, ok := codes[c]; ok {
+		return info.status
+	}
+	return http.StatusInternalServerError
+}
+
+// Retryable reports whether a later retry of the same request can succeed.
+func (c Code) Retryable() bool {
+	return codes[c].retry
+}
+
+// Refusal is the final response to a request that the fleet does not complete.
+// It is an error, so that every layer can return it unchanged.
+type Refusal struct {
+	Code    Code
+	Message string
+	// Outcome is OutcomeNotRun only where no byte of the call reached an
+	// endpoint, or where the endpoint itself refused the call.
+	Outcome Outcome
+	// RetryAfter is zero where a retry does not help.
+	RetryAfter time.Duration
+	// Cause is the underlying error. It is logged but not sent to clients.
+	Cause error
+}
+
+// Refuse returns a refusal of a call that has not been executed.
+func Refuse(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), Outcome: OutcomeNotRun}
+}
+
+// After sets the time after which a retry can succeed.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// WithOutcome sets the outcome.
+func (r *Refusal) WithOutcome(o Outcome) *Refusal {
+	r.Outcome = o
+	return r
+}
+
+// WithCause sets the underlying error.
+func (r *Refusal) WithCause(err error) *Refusal {
+	r.Cause = err
+	return r
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Cause != nil {
+		return fmt.Sprintf("%s (%d): %s: %v", r.Code, int(r.Code), r.Message, r.Cause)
+	}
+	return fmt.Sprintf("%s (%d): %s", r.Code, int(r.Code), r.Message)
+}
+
+// Unwrap returns the underlying error.
+func (r *Refusal) Unwrap() error {
+	return r.Cause
+}
