responder: chat completions API, plain services and refusals

Cause: clients need the API of the usual client libraries. Ruled out: schema validation of bodies by huma. It rejects raw bodies as 'not a string' and would decode every body twice; the handler decodes only the fields that routing needs.

--- /dev/null
+++ b/completion.go
@@ -0,0 +1,44 @@
+package bergamotdale
+
+import "encoding/json"
+
+// Completion is a validated chat completion request. The entry router builds
+// it once; it crosses to the owner of the endpoint unchanged, but for Endpoint,
+// ResumeFrom and Attempt.
+type Completion struct {
+	RequestID     string `json:"request-id"`
+	Workspace     string `json:"workspace"`
+	Chat          string `json:"chat"`
+	PriorityClass string `json:"priority-class"`
+	Model         string `json:"model"`
+	// Fingerprint is the hash of workspace, model and body.
+	Fingerprint string `json:"fingerprint"`
+	// Body is the JSON body as the client sent it.
+	Body json.RawMessage `json:"body"`
+	// PromptTokens is an estimate, in tokens.
+	PromptTokens int `json:"prompt-tokens"`
+	// MaxTokens is the largest number of tokens to generate.
+	MaxTokens int `json:"max-tokens"`
+	// ResumeFrom is the number of tokens that the client already has.
+	ResumeFrom int `json:"resume-from,omitempty"`
+	// Endpoint is the engine that the entry router chose.
+	Endpoint string `json:"endpoint,omitempty"`
+	// Attempt counts from zero.
+	Attempt int `json:"attempt,omitempty"`
+	// Revision is the configuration revision that admitted the request.
+	Revision int64 `json:"revision"`
+}
+
+// ServiceCall is a validated call of a plain service.
+type ServiceCall struct {
+	RequestID string `json:"request-id"`
+	Workspace string `json:"workspace"`
+	Service   string `json:"service"`
+	Call      string `json:"call"`
+	// Key is the client's idempotency key; empty only for idempotent calls.
+	Key string `json:"key,omitempty"`
+	// Fingerprint is the hash of workspace, service, call and body.
+	Fingerprint string          `json:"fingerprint"`
+	Body        json.RawMessage `json:"body,omitempty"`
+	Revision    int64           `json:"revision"`
+}
--- /dev/null
+++ b/responder/completion.go
@@ -0,0 +1,135 @@
+package responder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/danielgtaylor/huma/v2"
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+// Identity holds the headers that every client request may carry. It is
+// exported because huma does not fill embedded fields of unexported types.
+type Identity struct {
+	Workspace     string `header:"X-Bergamotdale-Workspace" doc:"workspace; without it the API key names the workspace"`
+	RequestID     string `header:"X-Request-Id" doc:"unique id of the request; generated if missing" maxLength:"128"`
+	Priority      string `header:"X-Bergamotdale-Priority" doc:"priority class; the workspace's default if missing"`
+	Authorization string `header:"Authorization" doc:"Bearer and an API key of the workspace"`
+}
+
+// completionInput is the request of POST /v1/chat/completions.
+type completionInput struct {
+	Identity
+	Chat        string `header:"X-Bergamotdale-Chat" doc:"stable id of the chat; derived from the first messages if missing" maxLength:"256"`
+	LastEventID string `header:"Last-Event-ID" doc:"token offset after which to resume a stream"`
+	RawBody     []byte `contentType:"application/json"`
+}
+
+func (r *Responder) registerCompletions(api huma.API) {
+	installErrors()
+	huma.Register(api, huma.Operation{
+		OperationID:  "create-chat-completion",
+		Method:       http.MethodPost,
+		Path:         "/v1/chat/completions",
+		Summary:      "Create a chat completion",
+		MaxBodyBytes: r.MaxBodyBytes,
+		// The handler checks the body itself and names the result codes.
+		SkipValidateBody: true,
+	}, r.complete)
+}
+
+// complete answers one completion request, as a stream or as one object.
+func (r *Responder) complete(ctx context.Context, in *completionInput) (*huma.StreamResponse, error) {
+	id := r.requestID(in.RequestID)
+	grant, err := r.Backend.Authorize(in.Workspace, bearer(in.Authorization))
+	if err != nil {
+		return nil, r.refuse(err, id, grant)
+	}
+	body, refusal := parseChatBody(in.RawBody)
+	if refusal != nil {
+		return nil, r.refuse(refusal, id, grant)
+	}
+	offset, refusal := parseLastEventID(in.LastEventID)
+	if refusal != nil {
+		return nil, r.refuse(refusal, id, grant)
+	}
+	c := newCompletion(id, in, body, grant)
+	c.ResumeFrom = offset
+
+	// huma cancels ctx when the handler returns; the stream outlives it and
+	// ends with the client's connection instead.
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := r.Backend.Complete(streamCtx, c)
+	if err != nil {
+		stop()
+		cancel()
+		return nil, r.refuse(err, id, grant)
+	}
+	return r.respond(responseWriter{
+		completion: c,
+		body:       body,
+		grant:      grant,
+		stream:     stream,
+		created:    r.Clock.Now(),
+		close: func() {
+			_ = stream.Close()
+			stop()
+			cancel()
+		},
+	})
+}
+
+// respond chooses between a stream and one object.
+func (r *Responder) respond(w responseWriter) (*huma.StreamResponse, error) {
+	if w.body.Stream {
+		return r.respondStream(w)
+	}
+	return r.respondObject(w)
+}
+
+// newCompletion returns the validated form of a request.
+func newCompletion(id string, in *completionInput, body *chatBody, grant Grant) bergamotdale.Completion {
+	chat := in.Chat
+	if chat == "" {
+		chat = chatOf(grant.Workspace, body)
+	}
+	class := in.Priority
+	if class == "" {
+		class = grant.DefaultPriorityClass
+	}
+	return bergamotdale.Completion{
+		RequestID:     id,
+		Workspace:     grant.Workspace,
+		Chat:          chat,
+		PriorityClass: class,
+		Model:         body.Model,
+		Fingerprint:   fingerprint(grant.Workspace, body.Model, string(in.RawBody)),
+		Body:          in.RawBody,
+		PromptTokens:  max(1, len(in.RawBody)/bytesPerToken),
+		MaxTokens:     body.maxTokens(),
+		Revision:      grant.Revision,
+	}
+}
+
+// setHeaders sets the headers of every completion response.
+func setHeaders(ctx huma.Context, c bergamotdale.Completion, contentType string) {
+	ctx.SetHeader("Content-Type", contentType)
+	ctx.SetHeader(HeaderRequestID, c.RequestID)
+	ctx.SetHeader(HeaderRevision, strconv.FormatInt(c.Revision, 10))
+	ctx.SetHeader(HeaderChat, c.Chat)
+}
+
+// logDone writes the line of a completed request.
+func (r *Responder) logDone(w responseWriter, tokens int) {
+	r.Logger.Info("request completed",
+		zap.String("request-id", w.completion.RequestID),
+		zap.String("workspace", w.completion.Workspace),
+		zap.String("chat", w.completion.Chat),
+		zap.String("priority-class", w.completion.PriorityClass),
+		zap.Int("tokens", tokens),
+		zap.Duration("duration", r.Clock.Now().Sub(w.created)))
+}
