--- /dev/null
+++ b/scheduler/share.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import "time"
+
+// maxDeficit bounds how long a class can be behind or ahead of its minimum
+// share, in slot seconds per slot of that share. Without a bound, an hour of
+// idle slots used by a class would count against it in the next flood.
+const maxDeficit = 60.0
+
+// advance brings the deficits of all classes to the time.
+func (q *Queue) advance(now time.Time) {
+	elapsed := now.Sub(q.advanced).Seconds()
+	first := q.advanced.IsZero()
+	if elapsed <= 0 && !first {
+		return
+	}
+	q.advanced = now
+	if first {
+		return
+	}
+	for _, c := range q.classes {
+		if c.waiting == 0 {
+			c.deficit = 0
+			continue
+		}
+		guaranteed := q.guaranteed(c)
+		bound := maxDeficit * max(guaranteed, 1)
+		c.deficit += (guaranteed - float64(len(c.running))) * elapsed
+		c.deficit = min(max(c.deficit, -bound), bound)
+	}
+}
+
+// guaranteed returns the slots of the class's minimum share; it need not be a
+// whole number.
+func (q *Queue) guaranteed(c *class) float64 {
+	return c.config.MinShare * float64(q.limit)
+}
+
+// owed reports whether the class has to be served before more urgent ones. A
+// fraction of a slot is a whole slot for that fraction of the time.
+func (q *Queue) owed(c *class) bool {
+	guaranteed := q.guaranteed(c)
+	held := float64(len(c.running))
+	return held+1 <= guaranteed || (held < guaranteed && c.deficit > 0)
+}
+
+// nextClass returns the class of the next item to start, or nil if nothing
+// waits.
+func (q *Queue) nextClass() *class {
+	var first *class
+	for _, c := range q.classes {
+		if c.waiting == 0 {
+			continue
+		}
+		if q.owed(c) {
+			return c
+		}
+		if first == nil {
+			first = c
+		}
+	}
+	return first
+}
+
+// preempt marks running items that make room for waiting urgent ones.
+func (q *Queue) preempt() []Item {
+	var marked []Item
+	spare := q.leaving
+	for i, c := range q.classes {
+		if !c.config.Preempts {
+			continue
+		}
+		for wanted := c.waiting - spare; wanted > 0; wanted-- {
+			e := q.victim(i)
+			if e == nil {
+				return marked
+			}
+			e.state = leaving
+			q.leaving++
+			q.classes[e.item.Class].leaving++
+			marked = append(marked, e.item)
+		}
+		spare = max(spare-c.waiting, 0)
+	}
+	return marked
+}
+
+// victim returns the youngest running item of the lowest class below the given
+// one that keeps its minimum share without the item. Age counts from the first
+// start, so that work which was preempted before is not chosen again and again.
+func (q *Queue) victim(above int) *entry {
+	for i := len(q.classes) - 1; i > above; i-- {
+		c := q.classes[i]
+		if float64(len(c.running)-c.leaving-1) < q.guaranteed(c) {
+			continue
+		}
+		var youngest *entry
+		for _, e := range c.running {
+			if e.state == running && (youngest == nil || e.younger(youngest)) {
+				youngest = e
+			}
+		}
+		if youngest != nil {
+			return youngest
+		}
+	}
+	return nil
+}
+
+func (e *entry) younger(o *entry) bool {
+	if !e.firstStart.Equal(o.firstStart) {
+		return e.firstStart.After(o.firstStart)
+	}
+	return e.sequence > o.sequence
+}
