bergamotdale: redirects between routers carry owner, epoch and endpoint

Cause: an owner that is full, or that has placed a chat elsewhere, has to tell the entry router where to go. Ruled out: the owner as a cause of the error; causes do not cross the wire.

--- a/code.go
+++ b/code.go
@@ -74,6 +74,8 @@
 	CodeNotOwner Code = 601
 	CodeInternal Code = 602
 	CodePeer     Code = 603
+	// CodePlacedElsewhere sends the entry router to the endpoint in Redirect.
+	CodePlacedElsewhere Code = 604
 )
 
 // codeInfo holds the fixed properties of a code.
@@ -115,6 +117,7 @@
 	CodeNotOwner:             {"not-owner", http.StatusMisdirectedRequest, true},
 	CodeInternal:             {"internal", http.StatusInternalServerError, false},
 	CodePeer:                 {"peer-unreachable", http.StatusBadGateway, true},
+	CodePlacedElsewhere:      {"placed-elsewhere", http.StatusMisdirectedRequest, true},
 }
 
 // Codes returns every defined code.
@@ -157,10 +160,23 @@
 	Outcome Outcome
 	// RetryAfter is zero where a retry does not help.
 	RetryAfter time.Duration
+	// Redirect tells another router where to go instead; nil in responses to
+	// clients.
+	Redirect *Redirect
 	// Cause is the underlying error. It is logged but not sent to clients.
 	Cause error
 }
 
+// Redirect names a better target between routers.
+type Redirect struct {
+	// Owner is the ID of the router that owns the endpoint or shard, as far as
+	// the sender knows, and Epoch its epoch.
+	Owner string `json:"owner,omitempty"`
+	Epoch int64  `json:"epoch,omitempty"`
+	// Endpoint is another endpoint of the model group.
+	Endpoint string `json:"endpoint,omitempty"`
+}
+
 // Refuse returns a refusal of a call that has not been executed.
 func Refuse(code Code, format string, args ...any) *Refusal {
 	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), Outcome: OutcomeNotRun}
@@ -178,6 +194,12 @@
 	return r
 }
 
+// To sets where to go instead.
+func (r *Refusal) To(redirect Redirect) *Refusal {
+	r.Redirect = &redirect
+	return r
+}
+
 // WithCause sets the underlying error.
 func (r *Refusal) WithCause(err error) *Refusal {
 	r.Cause = err
--- a/frame.go
+++ b/frame.go
@@ -45,10 +45,8 @@
 	RequestID string  `json:"request-id,omitempty"`
 	// RetryAfterMS is the time in milliseconds after which a retry can succeed.
 	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
-	// Owner is the router that owns the endpoint or shard, as far as the
-	// sender knows; set with CodeNotOwner.
-	Owner string `json:"owner,omitempty"`
-	Epoch int64  `json:"epoch,omitempty"`
+	// Redirect is set between routers only.
+	Redirect *Redirect `json:"redirect,omitempty"`
 }
 
 // FrameStream is a sequence of frames from the next hop.
--- a/refusal_wire.go
+++ b/refusal_wire.go
@@ -28,15 +28,22 @@
 		Outcome:      r.Outcome,
 		RequestID:    requestID,
 		RetryAfterMS: r.RetryAfter.Milliseconds(),
+		Redirect:     r.Redirect,
 	}
 }
 
-// Refusal returns the refusal that the wire form stands for.
+// Refusal returns the refusal that the wire form stands for. A missing outcome
+// is unknown.
 func (w *WireRefusal) Refusal() *Refusal {
+	outcome := w.Outcome
+	if outcome != OutcomeRun && outcome != OutcomeNotRun {
+		outcome = OutcomeUnknown
+	}
 	return &Refusal{
 		Code:       w.Code,
 		Message:    w.Message,
-		Outcome:    w.Outcome,
+		Outcome:    outcome,
 		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
+		Redirect:   w.Redirect,
 	}
 }
