--- /dev/null
+++ b/streamer/framer.go
@@ -0,0 +1,89 @@
+package streamer
+
+import (
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+// Framer builds the contiguous frames of one response.
+type Framer struct {
+	requestID string
+	position  Position
+}
+
+// NewFramer returns a framer that continues the response of the request at the
+// position. The zero position starts a new response.
+func NewFramer(requestID string, p Position) *Framer {
+	return &Framer{requestID: requestID, position: p}
+}
+
+// Position returns the position after the last data frame.
+func (f *Framer) Position() Position {
+	return f.position
+}
+
+// Data returns the next data frame.
+func (f *Framer) Data(tokens ...string) bergamotdale.Frame {
+	frame := bergamotdale.Frame{
+		RequestID: f.requestID,
+		Kind:      bergamotdale.FrameData,
+		Offset:    f.position.Offset,
+		Tokens:    tokens,
+	}
+	f.position = f.position.Add(tokens...)
+	return frame
+}
+
+// Heartbeat returns a heartbeat at the current offset.
+func (f *Framer) Heartbeat() bergamotdale.Frame {
+	return heartbeat(f.requestID, f.position.Offset)
+}
+
+// End returns the end frame of the complete response.
+func (f *Framer) End(finishReason string) bergamotdale.Frame {
+	return bergamotdale.Frame{
+		RequestID:    f.requestID,
+		Kind:         bergamotdale.FrameEnd,
+		Offset:       f.position.Offset,
+		Length:       f.position.Offset,
+		Checksum:     f.position.Checksum.String(),
+		FinishReason: finishReason,
+	}
+}
+
+// Refuse returns the final frame of a response that is not completed.
+func (f *Framer) Refuse(r *bergamotdale.Refusal) bergamotdale.Frame {
+	return RefusalFrame(f.requestID, f.position.Offset, r)
+}
+
+func heartbeat(requestID string, offset int) bergamotdale.Frame {
+	return bergamotdale.Frame{RequestID: requestID, Kind: bergamotdale.FrameHeartbeat, Offset: offset}
+}
+
+// RefusalFrame returns a frame that ends the response at the offset.
+func RefusalFrame(requestID string, offset int, r *bergamotdale.Refusal) bergamotdale.Frame {
+	return bergamotdale.Frame{
+		RequestID: requestID,
+		Kind:      bergamotdale.FrameRefusal,
+		Offset:    offset,
+		Refusal: &bergamotdale.WireRefusal{
+			Code:         r.Code,
+			Name:         r.Code.String(),
+			Message:      r.Message,
+			Outcome:      r.Outcome,
+			RequestID:    requestID,
+			RetryAfterMS: r.RetryAfter.Milliseconds(),
+		},
+	}
+}
+
+// FromWire returns the refusal that a refusal frame carries.
+func FromWire(w *bergamotdale.WireRefusal) *bergamotdale.Refusal {
+	return &bergamotdale.Refusal{
+		Code:       w.Code,
+		Message:    w.Message,
+		Outcome:    w.Outcome,
+		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
+	}
+}
