--- a/completion.go
+++ b/completion.go
@@ -19,8 +19,10 @@
 	PromptTokens int `json:"prompt-tokens"`
 	// MaxTokens is the largest number of tokens to generate.
 	MaxTokens int `json:"max-tokens"`
-	// ResumeFrom is the number of tokens that the client already has.
-	ResumeFrom int `json:"resume-from,omitempty"`
+	// ResumeFrom is the number of tokens that the client already has, and
+	// ResumeChecksum covers them.
+	ResumeFrom     int    `json:"resume-from,omitempty"`
+	ResumeChecksum string `json:"resume-checksum,omitempty"`
 	// Endpoint is the engine that the entry router chose.
 	Endpoint string `json:"endpoint,omitempty"`
 	// Attempt counts from zero.
@@ -29,6 +31,13 @@
 	Revision int64 `json:"revision"`
 }
 
+// StreamID names the stream of the completion inside the fleet and at engines.
+// Request IDs are unique only within a workspace, and a client may use one
+// twice with different bodies.
+func (c Completion) StreamID() string {
+	return c.Workspace + "/" + c.RequestID + "/" + c.Fingerprint
+}
+
 // ServiceCall is a validated call of a plain service.
 type ServiceCall struct {
 	RequestID string `json:"request-id"`
--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,358 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/limiter"
+	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/scheduler"
+	"github.com/bergamotdale/bergamotdale/streamer"
+)
+
+const (
+	// overrideBytes bounds the placement overrides of one engine; it holds
+	// 16,384 chats. At the target size an engine has about 2,700 chats in all.
+	overrideBytes = 1 << 20
+	// overloadRetry is when a client may retry while every engine of the group
+	// is at its bound.
+	overloadRetry = time.Second
+	// idleTick is how often an admission looks at its queue without an event.
+	idleTick = 250 * time.Millisecond
+)
+
+// admission is the queue and the running set of one owned engine.
+type admission struct {
+	dispatcher *Dispatcher
+	stop       context.CancelFunc
+	wake       chan struct{}
+
+	mu         sync.Mutex
+	assignment Assignment
+	policy     *Policy
+	queue      *scheduler.Queue
+	limit      *limiter.Concurrency
+	ownership  *limiter.Ownership
+	overrides  *placer.Overrides
+	// jobs holds every queued and running request by its stream ID.
+	jobs     map[string]*job
+	released bool
+	crash    crashWatch
+}
+
+// newAdmission starts the admission of an engine that this router now owns.
+func newAdmission(d *Dispatcher, policy *Policy, assignment Assignment) *admission {
+	ctx, cancel := context.WithCancel(d.ctx)
+	a := &admission{
+		dispatcher: d,
+		stop:       cancel,
+		wake:       make(chan struct{}, 1),
+		queue:      scheduler.New(scheduler.Config{Classes: policy.Classes}),
+		limit: limiter.NewConcurrency(limiter.ConcurrencyConfig{
+			Max:             assignment.MaxConcurrency,
+			Initial:         assignment.MaxConcurrency,
+			TargetTokenTime: policy.TargetTokenTime,
+		}),
+		ownership: limiter.NewOwnership(d.Clock.Now()),
+		overrides: placer.NewOverrides(overrideBytes),
+		jobs:      map[string]*job{},
+	}
+	a.update(policy, assignment)
+	go a.run(ctx)
+	go a.poll(ctx)
+	return a
+}
+
+// update applies a new configuration or a new standing of the ownership.
+func (a *admission) update(policy *Policy, assignment Assignment) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.policy = policy
+	a.assignment = assignment
+	if assignment.Confirmed {
+		a.ownership.Confirm()
+	}
+	a.ownership.SetExpired(assignment.Expired)
+	a.signal()
+}
+
+// signal makes run look at the queue.
+func (a *admission) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run starts, preempts and expires requests whenever something has changed.
+func (a *admission) run(ctx context.Context) {
+	for {
+		a.step()
+		select {
+		case <-a.wake:
+		case <-a.dispatcher.Clock.After(idleTick):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step applies one decision of the queue.
+func (a *admission) step() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.dispatcher.Clock.Now()
+	for _, refused := range a.queue.Expire(now) {
+		a.refuse(refused)
+	}
+	a.queue.SetLimit(now, a.ownership.Limit(a.limit.Limit()))
+	decision := a.queue.Next(now)
+	for _, item := range decision.Preempt {
+		a.preempt(item)
+	}
+	for _, item := range decision.Start {
+		a.start(now, item)
+	}
+	a.ownership.Count(now, a.queue.Running())
+}
+
+// admit queues a completion, or refuses it at once.
+func (a *admission) admit(c bergamotdale.Completion) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.check(c); err != nil {
+		return err
+	}
+	position, err := resumePosition(c)
+	if err != nil {
+		return err
+	}
+	buffer, err := a.dispatcher.Replayer.Open(c.StreamID(), position)
+	if err != nil {
+		return bergamotdale.Refuse(bergamotdale.CodeInProgress, "the request is running").
+			WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
+	}
+	j := &job{completion: c, buffer: buffer, id: c.StreamID()}
+	a.jobs[j.id] = j
+	a.dispatcher.jobs.Add(1)
+	now := a.dispatcher.Clock.Now()
+	for _, refused := range a.queue.Push(now, a.item(c)) {
+		a.refuse(refused)
+		if refused.Item.ID == j.id {
+			return refusal(refused)
+		}
+	}
+	a.record(j, "request-queued", "")
+	a.signal()
+	return nil
+}
+
+// check refuses a completion that must not be queued here.
+func (a *admission) check(c bergamotdale.Completion) error {
+	switch {
+	case a.released:
+		return bergamotdale.Refuse(bergamotdale.CodeNotOwner, "this router no longer owns %s", c.Endpoint)
+	case a.assignment.Draining:
+		return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "%s is draining", c.Endpoint).
+			To(bergamotdale.Redirect{Endpoint: a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)})
+	}
+	if c.Attempt == 0 {
+		if other, ok := a.overrides.Get(c.Chat); ok && other != c.Endpoint {
+			return bergamotdale.Refuse(bergamotdale.CodePlacedElsewhere, "the chat was placed at %s", other).
+				To(bergamotdale.Redirect{Endpoint: other})
+		}
+	}
+	mean, known := a.dispatcher.Loads.Mean(c.Model)
+	if known && !a.policy.Bound.Admits(mean, a.queue.Load()) {
+		return a.overloaded(c)
+	}
+	return nil
+}
+
+// overloaded refuses a completion because of the load bound. It remembers
+// where it sent the chat, so that the chat finds its cache when it returns.
+func (a *admission) overloaded(c bergamotdale.Completion) error {
+	refusal := bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%s is at its load bound", c.Endpoint).After(overloadRetry)
+	other := a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)
+	if other == "" {
+		return refusal
+	}
+	a.overrides.Put(c.Chat, other)
+	return refusal.To(bergamotdale.Redirect{Endpoint: other})
+}
+
+// item returns what the scheduler needs to know of a completion.
+func (a *admission) item(c bergamotdale.Completion) scheduler.Item {
+	class, ok := a.policy.ClassIndex[c.PriorityClass]
+	if !ok {
+		class = len(a.policy.Classes) - 1
+	}
+	return scheduler.Item{
+		ID:           c.StreamID(),
+		Workspace:    c.Workspace,
+		Weight:       a.policy.Weight(c.Workspace),
+		Class:        class,
+		InputTokens:  c.PromptTokens,
+		OutputTokens: c.MaxTokens,
+		Offset:       c.ResumeFrom,
+	}
+}
+
+// refuse ends a request that the queue has given up on, at once.
+func (a *admission) refuse(refused scheduler.Refused) {
+	j := a.jobs[refused.Item.ID]
+	if j == nil {
+		return
+	}
+	r := refusal(refused)
+	a.record(j, "request-refused", r.Message)
+	a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset, r))
+}
+
+// refusal returns the final response to an item that left the queue.
+func refusal(refused scheduler.Refused) *bergamotdale.Refusal {
+	r := bergamotdale.Refuse(refused.Code, "the queue of the priority class is too long").After(refused.RetryAfter)
+	if refused.Item.Offset > 0 {
+		return r.WithOutcome(bergamotdale.OutcomeUnknown)
+	}
+	return r
+}
+
+// finish writes the last frame of a request and forgets it.
+func (a *admission) finish(j *job, last bergamotdale.Frame) {
+	if err := j.buffer.Append(last); err != nil {
+		j.buffer.Cut(err)
+	}
+	a.forget(j)
+}
+
+// forget removes a request whose buffer has ended.
+func (a *admission) forget(j *job) {
+	if a.jobs[j.id] != j {
+		return
+	}
+	delete(a.jobs, j.id)
+	a.dispatcher.jobs.Done()
+	a.signal()
+}
+
+// cancel ends a request whose client has gone.
+func (a *admission) cancel(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	j := a.jobs[id]
+	if j == nil {
+		return
+	}
+	if a.queue.Cancel(a.dispatcher.Clock.Now(), id) && j.stop != nil {
+		j.stop()
+	}
+	j.buffer.Cut(context.Canceled)
+	a.forget(j)
+}
+
+// release ends the admission after the engine got another owner. Waiting
+// requests are sent there; running ones finish here.
+func (a *admission) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.released = true
+	now := a.dispatcher.Clock.Now()
+	for id, j := range a.jobs {
+		if j.running {
+			continue
+		}
+		a.queue.Cancel(now, id)
+		a.finish(j, streamer.RefusalFrame(id, j.buffer.Position().Offset,
+			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
+	}
+	a.stop()
+}
+
+// poll reads load reports of the engine.
+func (a *admission) poll(ctx context.Context) {
+	for {
+		a.readLoad(ctx)
+		if bergamotdale.Wait(ctx, a.dispatcher.Clock, a.dispatcher.PollInterval) != nil {
+			return
+		}
+	}
+}
+
+// readLoad applies one load report.
+func (a *admission) readLoad(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.dispatcher.PollInterval)
+	defer cancel()
+	a.mu.Lock()
+	address := a.assignment.Address
+	a.mu.Unlock()
+	load, err := a.dispatcher.Engine.Load(ctx, address)
+	now := a.dispatcher.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.dispatcher.Logger.Debug("no load report", zap.String("endpoint", a.assignment.Name), zap.Error(err))
+		return
+	}
+	report := limiter.Report{
+		Taken:   now.Add(-time.Duration(load.AgeMS) * time.Millisecond),
+		Running: load.Running,
+		Queued:  load.Queued,
+		Slots:   load.Slots,
+	}
+	a.limit.Report(now, report, a.queue.Running())
+	a.ownership.Report(report)
+	a.crash.incarnation = load.Incarnation
+	a.signal()
+}
+
+func (a *admission) report() Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Load{
+		Endpoint: a.assignment.Name,
+		Load:     a.queue.Load(),
+		Limit:    a.ownership.Limit(a.limit.Limit()),
+		Epoch:    a.assignment.Epoch,
+	}
+}
+
+func (a *admission) exportOverrides() map[uint64]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[uint64]string, a.overrides.Len())
+	a.overrides.Each(func(key uint64, endpoint string) bool {
+		out[key] = endpoint
+		return true
+	})
+	return out
+}
+
+func (a *admission) confirm(overrides map[uint64]string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ownership.Confirm()
+	for key, endpoint := range overrides {
+		a.overrides.PutKey(key, endpoint)
+	}
+	a.signal()
+}
+
+// record adds an event of a request to the timeline.
+func (a *admission) record(j *job, kind, detail string) {
+	a.dispatcher.Recorder.Record(bergamotdale.Event{
+		Time:      a.dispatcher.Clock.Now(),
+		Kind:      kind,
+		RequestID: j.completion.RequestID,
+		Chat:      j.completion.Chat,
+		Workspace: j.completion.Workspace,
+		Endpoint:  a.assignment.Name,
+		Detail:    detail,
+		Revision:  j.completion.Revision,
+		Epoch:     a.assignment.Epoch,
+	})
+}
--- /dev/null
+++ b/dispatcher/job.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/scheduler"
+	"github.com/bergamotdale/bergamotdale/streamer"
+)
+
+const (
+	// engineAttempts is how many streams to the same engine a request may use.
+	// A second one distinguishes a broken connection from a broken engine.
+	engineAttempts = 2
+	// progressLimit is the longest time without a token at an engine. It has to
+	// cover the prefill of a long prompt behind other prefills.
+	progressLimit = 60 * time.Second
+	// cancelTimeout bounds the call that cancels a request at its engine.
+	cancelTimeout = time.Second
+)
+
+// job is one queued or running request. The admission's lock guards it.
+type job struct {
+	id         string
+	completion bergamotdale.Completion
+	buffer     *streamer.Buffer
+	running    bool
+	preempted  bool
+	// stop ends the stream to the engine; nil while the job waits.
+	stop context.CancelFunc
+}
+
+// resumePosition returns the position from which the client wants tokens.
+func resumePosition(c bergamotdale.Completion) (streamer.Position, error) {
+	if c.ResumeFrom == 0 {
+		return streamer.Position{}, nil
+	}
+	checksum, err := streamer.ParseChecksum(c.ResumeChecksum)
+	if err != nil {
+		return streamer.Position{}, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
+			"the checksum at the resume offset is not valid").WithCause(err)
+	}
+	return streamer.Position{Offset: c.ResumeFrom, Checksum: checksum}, nil
+}
+
+// start runs a request at the engine. A suspect of a crash waits while another
+// suspect runs there.
+func (a *admission) start(now time.Time, item scheduler.Item) {
+	j := a.jobs[item.ID]
+	if j == nil {
+		a.queue.Done(now, item.ID)
+		return
+	}
+	if !a.dispatcher.Quarantine.MayRun(j.completion.Fingerprint, a.runningFingerprints()) {
+		a.queue.Preempted(now, j.id, j.buffer.Position().Offset)
+		return
+	}
+	ctx, cancel := context.WithCancel(a.dispatcher.ctx)
+	j.stop = cancel
+	j.running = true
+	a.record(j, "request-started", fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
+	go a.execute(ctx, j, item.Class, a.assignment.Address)
+}
+
+// runningFingerprints returns the fingerprints of the requests that run at the
+// engine now.
+func (a *admission) runningFingerprints() []string {
+	running := make([]string, 0, len(a.jobs))
+	for _, j := range a.jobs {
+		if j.running {
+			running = append(running, j.completion.Fingerprint)
+		}
+	}
+	return running
+}
+
+// preempt cancels a running request so that an urgent one gets its slot. It
+// continues later from its offset.
+func (a *admission) preempt(item scheduler.Item) {
+	j := a.jobs[item.ID]
+	if j == nil || j.preempted || !j.running {
+		return
+	}
+	j.preempted = true
+	j.stop()
+	a.record(j, "request-preempted", fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
+}
+
+// execute copies the frames of the engine into the replay buffer.
+func (a *admission) execute(ctx context.Context, j *job, class int, address string) {
+	resumer := streamer.NewResumer(ctx, streamer.Resume{
+		RequestID: j.id,
+		Start:     j.buffer.Position(),
+		Attempts:  engineAttempts,
+		Clock:     a.dispatcher.Clock,
+		Unsealed:  true,
+		Limits:    streamer.Limits{Silence: streamer.SilenceLimit, Progress: progressLimit},
+		Open: func(ctx context.Context, p streamer.Position, _ int) (bergamotdale.FrameStream, error) {
+			return a.dispatcher.Engine.Complete(ctx, address, bergamotdale.EngineRequest{
+				RequestID:  j.id,
+				Body:       j.completion.Body,
+				Priority:   class,
+				ResumeFrom: p.Offset,
+			})
+		},
+	})
+	defer func() { _ = resumer.Close() }()
+	last := a.copyFrames(j, resumer)
+	a.end(ctx, j, address, last)
+}
+
+// copyFrames appends frames to the buffer until a final one, which it returns.
+func (a *admission) copyFrames(j *job, s bergamotdale.FrameStream) bergamotdale.Frame {
+	lastToken := a.dispatcher.Clock.Now()
+	for {
+		frame, err := s.Next()
+		if err != nil {
+			return streamer.RefusalFrame(j.id, j.buffer.Position().Offset, streamLost(err))
+		}
+		switch frame.Kind {
+		case bergamotdale.FrameData:
+			if err := j.buffer.Append(frame); err != nil {
+				return streamer.RefusalFrame(j.id, j.buffer.Position().Offset, streamLost(err))
+			}
+			now := a.dispatcher.Clock.Now()
+			a.progress(j, now, frame, now.Sub(lastToken))
+			lastToken = now
+		case bergamotdale.FrameEnd, bergamotdale.FrameRefusal:
+			return frame
+		}
+	}
+}
+
+// streamLost is the refusal of a request whose engine stream has broken.
+func streamLost(err error) *bergamotdale.Refusal {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return bergamotdale.Refuse(bergamotdale.CodeStreamLost, "the stream of the engine broke").
+		WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
+}
+
+// progress tells the scheduler and the limiter about generated tokens.
+func (a *admission) progress(j *job, now time.Time, f bergamotdale.Frame, elapsed time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Progress(j.id, f.Offset+len(f.Tokens))
+	// The first frame of a stream includes prefill and says nothing about the
+	// time between tokens.
+	if len(f.Tokens) > 0 && f.Offset > j.completion.ResumeFrom {
+		a.limit.Observe(now, elapsed/time.Duration(len(f.Tokens)))
+	}
+}
+
+// end applies the final frame of a stream: the request is complete, goes back
+// to the queue after a preemption, or is refused.
+func (a *admission) end(ctx context.Context, j *job, address string, last bergamotdale.Frame) {
+	if last.Kind == bergamotdale.FrameRefusal && ctx.Err() == nil && last.Refusal.Code != bergamotdale.CodeEndpointRefused {
+		a.inspectFailure(j, address)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.dispatcher.Clock.Now()
+	if j.preempted && last.Kind != bergamotdale.FrameEnd {
+		a.requeue(now, j, address)
+		return
+	}
+	a.queue.Done(now, j.id)
+	if a.jobs[j.id] != j {
+		go a.cancelAtEngine(j.id, address)
+		return
+	}
+	kind := "request-failed"
+	if last.Kind == bergamotdale.FrameEnd {
+		kind = "request-completed"
+		a.dispatcher.Quarantine.Completed(j.completion.Fingerprint)
+	}
+	a.record(j, kind, fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
+	a.finish(j, last)
+}
+
+// requeue returns a preempted request to the queue. After a release it is sent
+// to the new owner instead.
+func (a *admission) requeue(now time.Time, j *job, address string) {
+	go a.cancelAtEngine(j.id, address)
+	j.preempted, j.running, j.stop = false, false, nil
+	if a.released {
+		a.queue.Done(now, j.id)
+		a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset,
+			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
+		return
+	}
+	a.queue.Preempted(now, j.id, j.buffer.Position().Offset)
+	a.signal()
+}
+
+// cancelAtEngine frees the slot of a request that nobody waits for.
+func (a *admission) cancelAtEngine(id, address string) {
+	ctx, cancel := context.WithTimeout(a.dispatcher.ctx, cancelTimeout)
+	defer cancel()
+	if err := a.dispatcher.Engine.Cancel(ctx, address, id); err != nil {
+		a.dispatcher.Logger.Debug("cancel failed", zap.String("stream-id", id), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,263 @@
+// Package forwarder is the entry side of the request path. It chooses the
+// endpoint of a request, sends the request one hop to the router that owns the
+// endpoint, follows redirects, and resumes a broken stream from its offset.
+//
+// Only the entry router retries. Going to another endpoint because the first
+// one is full is placement and costs no retry; a retry after a failure takes
+// from the retry budget.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/retrier"
+	"github.com/bergamotdale/bergamotdale/streamer"
+)
+
+const (
+	// streamAttempts is how many streams one request may use in all.
+	streamAttempts = 4
+	// maxRedirects is how many redirects are followed per stream.
+	maxRedirects = 2
+	// maxSpills is how many endpoints besides the first one are asked for room.
+	maxSpills = 4
+	// pathForward is the message that carries a completion to the owner.
+	pathForward = "forward"
+)
+
+// Directory is the entry router's view of the fleet. It is immutable for as
+// long as one call of a method lasts.
+type Directory interface {
+	// Self returns the ID of this router.
+	Self() string
+	// Group returns the placement candidates of the model, nil if unknown.
+	Group(model string) *placer.Group
+	// Owner returns the router that owns the endpoint.
+	Owner(endpoint string) (bergamotdale.Member, bool)
+	// Member returns the router with the ID.
+	Member(id string) (bergamotdale.Member, bool)
+}
+
+// Local executes a completion at an endpoint that this router owns itself.
+type Local interface {
+	Dispatch(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error)
+}
+
+// Forwarder sends completions to the owners of their endpoints. Exported
+// fields are set before the first call.
+type Forwarder struct {
+	Directory Directory
+	Local     Local
+	Peer      bergamotdale.Peer
+	Clock     bergamotdale.Clock
+	Recorder  bergamotdale.Recorder
+	Logger    *zap.Logger
+	Budget    *retrier.Budget
+}
+
+// Complete returns the stream of a completion. The stream survives the loss of
+// connections, owners and engines as long as attempts and budget last.
+func (f *Forwarder) Complete(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	group := f.Directory.Group(c.Model)
+	if group == nil {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownModel, "no model %q", c.Model)
+	}
+	start, err := startPosition(c)
+	if err != nil {
+		return nil, err
+	}
+	f.Budget.First()
+	r := &route{forwarder: f, completion: c, endpoints: f.order(group, c)}
+	if len(r.endpoints) == 0 {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "no endpoint serves %q now", c.Model).After(time.Second)
+	}
+	return streamer.NewResumer(ctx, streamer.Resume{
+		RequestID: c.StreamID(),
+		Start:     start,
+		Open:      r.open,
+		Attempts:  streamAttempts,
+		Limits:    streamer.Limits{Silence: streamer.SilenceLimit},
+		Clock:     f.Clock,
+		Again:     r.again,
+	}), nil
+}
+
+// startPosition returns the position that the client has already.
+func startPosition(c bergamotdale.Completion) (streamer.Position, error) {
+	if c.ResumeFrom == 0 {
+		return streamer.Position{}, nil
+	}
+	checksum, err := streamer.ParseChecksum(c.ResumeChecksum)
+	if err != nil {
+		return streamer.Position{}, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
+			"the checksum at the resume offset is not valid").WithCause(err)
+	}
+	return streamer.Position{Offset: c.ResumeFrom, Checksum: checksum}, nil
+}
+
+// order returns the names of the endpoints to try for the chat.
+func (f *Forwarder) order(group *placer.Group, c bergamotdale.Completion) []string {
+	indices := group.Order(make([]int, 0, maxSpills+1), placer.Request{
+		Chat:  c.Chat,
+		Now:   f.Clock.Now(),
+		Limit: maxSpills + 1,
+	})
+	names := make([]string, len(indices))
+	for i, index := range indices {
+		names[i] = group.Candidate(index).Name
+	}
+	return names
+}
+
+// route is the way of one completion through the fleet.
+type route struct {
+	forwarder  *Forwarder
+	completion bergamotdale.Completion
+	// endpoints holds those that are still to be tried; the first is next.
+	endpoints []string
+	// broken is true after the endpoint itself failed, so that the next stream
+	// goes to another one.
+	broken bool
+	// exhausted is true once no endpoint has room; the refusal is final then.
+	exhausted bool
+}
+
+// again reports whether a refused stream may be replaced by another one.
+func (r *route) again(refusal *bergamotdale.Refusal) bool {
+	if r.exhausted || retrier.Classify(refusal, true) == retrier.Final {
+		return false
+	}
+	r.broken = refusal.Code != bergamotdale.CodeNotOwner
+	return true
+}
+
+// open opens a stream for the rest of the response.
+func (r *route) open(ctx context.Context, p streamer.Position, attempt int) (bergamotdale.FrameStream, error) {
+	if attempt > 0 {
+		if !r.forwarder.Budget.Take() {
+			r.exhausted = true
+			return nil, bergamotdale.Refuse(bergamotdale.CodeRetryBudgetSpent, "no retry budget left").
+				WithOutcome(bergamotdale.OutcomeUnknown).After(retrier.SpentRetryAfter)
+		}
+		r.record("request-retried", "")
+	}
+	if r.broken && len(r.endpoints) > 1 {
+		r.endpoints = r.endpoints[1:]
+	}
+	r.broken = false
+	c := r.completion
+	c.ResumeFrom, c.ResumeChecksum = p.Offset, p.Checksum.String()
+	c.Attempt = attempt
+	return r.place(ctx, c)
+}
+
+// place tries endpoints until one accepts the completion.
+func (r *route) place(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	var best *bergamotdale.Refusal
+	for range maxSpills + 1 {
+		c.Endpoint = r.endpoints[0]
+		stream, err := r.forwarder.send(ctx, c)
+		if err == nil {
+			return stream, nil
+		}
+		refusal := bergamotdale.AsRefusal(err)
+		if retrier.Classify(refusal, true) == retrier.Final && refusal.Code != bergamotdale.CodePlacedElsewhere {
+			return nil, refusal
+		}
+		best = better(best, refusal)
+		if !r.advance(refusal) {
+			break
+		}
+		// Whoever is asked second must not send the chat back.
+		c.Attempt++
+	}
+	r.exhausted = true
+	return nil, finalRefusal(best)
+}
+
+// advance makes another endpoint the next one. It reports whether there is one.
+func (r *route) advance(refusal *bergamotdale.Refusal) bool {
+	r.record("request-spilled", refusal.Error())
+	tried := r.endpoints[0]
+	r.endpoints = r.endpoints[1:]
+	if refusal.Redirect != nil && refusal.Redirect.Endpoint != "" && refusal.Redirect.Endpoint != tried {
+		r.endpoints = append([]string{refusal.Redirect.Endpoint}, r.endpoints...)
+	}
+	return len(r.endpoints) > 0
+}
+
+// better returns the refusal that tells the client to come back earlier.
+func better(a, b *bergamotdale.Refusal) *bergamotdale.Refusal {
+	if a == nil || (b.RetryAfter > 0 && (a.RetryAfter == 0 || b.RetryAfter < a.RetryAfter)) {
+		return b
+	}
+	return a
+}
+
+// finalRefusal hides what only routers need to know from the client.
+func finalRefusal(r *bergamotdale.Refusal) *bergamotdale.Refusal {
+	final := *r
+	final.Redirect = nil
+	if final.Code == bergamotdale.CodeNotOwner || final.Code == bergamotdale.CodePlacedElsewhere {
+		final.Code = bergamotdale.CodeNoEndpoint
+	}
+	if final.RetryAfter == 0 {
+		final.RetryAfter = time.Second
+	}
+	return &final
+}
+
+// send sends the completion to the owner of its endpoint. It follows redirects
+// to other owners.
+func (f *Forwarder) send(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	owner, ok := f.Directory.Owner(c.Endpoint)
+	if !ok {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "%s has no owner", c.Endpoint)
+	}
+	var refusal *bergamotdale.Refusal
+	for range maxRedirects + 1 {
+		stream, err := f.sendTo(ctx, owner, c)
+		if err == nil {
+			return stream, nil
+		}
+		if !errors.As(err, &refusal) || refusal.Code != bergamotdale.CodeNotOwner || refusal.Redirect == nil {
+			return nil, err
+		}
+		next, known := f.Directory.Member(refusal.Redirect.Owner)
+		if !known || next.ID == owner.ID {
+			return nil, refusal
+		}
+		owner = next
+	}
+	return nil, refusal
+}
+
+// sendTo sends the completion to a router.
+func (f *Forwarder) sendTo(ctx context.Context, owner bergamotdale.Member, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	f.Logger.Debug("request forwarded", zap.String("request-id", c.RequestID),
+		zap.String("endpoint", c.Endpoint), zap.String("owner", owner.ID))
+	if owner.ID == f.Directory.Self() {
+		return f.Local.Dispatch(ctx, c)
+	}
+	return f.Peer.Stream(ctx, owner.Address, pathForward, c)
+}
+
+// record adds an event of the request to the timeline.
+func (r *route) record(kind, detail string) {
+	r.forwarder.Recorder.Record(bergamotdale.Event{
+		Time:      r.forwarder.Clock.Now(),
+		Kind:      kind,
+		RequestID: r.completion.RequestID,
+		Chat:      r.completion.Chat,
+		Workspace: r.completion.Workspace,
+		Endpoint:  r.endpoints[0],
+		Detail:    detail,
+		Revision:  r.completion.Revision,
+	})
+}
