standin: fakes of the external systems and their clients

Packages that reach the store, the engines and the services need something to run against before the routers exist.

platformserver, engineserver and serviceserver are fakes in memory that run in a process of their own (cmd/standin) or inside a test. injector applies faults to all three. platformclient, engineclient and serviceclient implement the ports. requester is what the clients share: it sends a request at most once and knows after a failure whether a write was started.

Ruled out: httptrace alone to decide on not-run. A request that was given up can still be written by the write loop of net/http after its caller was told that nothing was sent; sealing the connection prevents that. Also ruled out: relying on net/http not to repeat a POST, because it repeats one that has an Idempotency-Key header.

Streamed completion, resume at another engine, service calls, swaps, leases and watches work through the clients in the tests of the client packages.

--- /dev/null
+++ b/engineserver/control.go
@@ -0,0 +1,209 @@
+package engineserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/injector"
+)
+
+// setup is what commands change.
+type setup struct {
+	checkFencing bool
+	incarnation  string
+	anyModel     bool
+
+	mu     sync.Mutex
+	models []string
+	role   string
+	drains bool
+	token  int64
+}
+
+func newSetup(models []string, role string, checkFencing bool) *setup {
+	return &setup{
+		checkFencing: checkFencing,
+		incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
+		anyModel:     len(models) == 0,
+		models:       slices.Clone(models),
+		role:         role,
+	}
+}
+
+func (s *setup) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains = true
+}
+
+func (s *setup) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains
+}
+
+func (s *setup) serves(model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.anyModel {
+		return true
+	}
+	return slices.ContainsFunc(s.models, func(m string) bool { return m == model || baseName(m) == model })
+}
+
+func (s *setup) describe(l *bergamotdale.EngineLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.Models = slices.Clone(s.models)
+	l.Role, l.Draining, l.Incarnation = s.role, s.drains, s.incarnation
+}
+
+// apply executes a command, or reports that its fencing token is stale.
+func (s *setup) apply(c bergamotdale.Command) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.checkFencing && c.FencingToken < s.token {
+		return false
+	}
+	s.token = max(s.token, c.FencingToken)
+	switch c.Kind {
+	case bergamotdale.CommandRole:
+		s.role = c.Target
+	case bergamotdale.CommandLoad:
+		s.unload(c.Target)
+		s.models = append(s.models, versioned(c.Target, c.Version))
+	case bergamotdale.CommandUnload:
+		s.unload(c.Target)
+	}
+	return true
+}
+
+func (s *setup) unload(target string) {
+	s.models = slices.DeleteFunc(s.models, func(m string) bool { return baseName(m) == target })
+}
+
+// versioned names a model or adapter with its version.
+func versioned(target, version string) string {
+	if version == "" {
+		return target
+	}
+	return target + "@" + version
+}
+
+func baseName(model string) string {
+	name, _, _ := strings.Cut(model, "@")
+	return name
+}
+
+func (s *Server) command(w http.ResponseWriter, r *http.Request) {
+	c := bergamotdale.Command{}
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "%v", err))
+		return
+	}
+	switch c.Kind {
+	case bergamotdale.CommandLoad, bergamotdale.CommandUnload, bergamotdale.CommandRole:
+	default:
+		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest, "unknown command %q", c.Kind))
+		return
+	}
+	if !s.setup.apply(c) {
+		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInProgress, "stale fencing token %d", c.FencingToken))
+		return
+	}
+	s.stats.command()
+	s.report()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	if !s.batch.stop(r.PathValue("id")) {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	l := bergamotdale.EngineLoad{}
+	s.setup.describe(&l)
+	data := []model{}
+	for _, m := range l.Models {
+		data = append(data, model{m, "model"})
+	}
+	injector.WriteJSON(w, http.StatusOK, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", data})
+}
+
+func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	injector.WriteJSON(w, http.StatusOK, s.cache.eventsAfter(after, time.Now()))
+}
+
+func (s *Server) exportCache(w http.ResponseWriter, _ *http.Request) {
+	injector.WriteJSON(w, http.StatusOK, s.cache.export())
+}
+
+func (s *Server) importCache(w http.ResponseWriter, r *http.Request) {
+	var all []cached
+	if err := json.NewDecoder(r.Body).Decode(&all); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.cache.restore(all)
+	s.report()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	injector.WriteJSON(w, http.StatusOK, s.reports.seen(time.Now()))
+}
+
+// reports holds the load over time, oldest first.
+type reports struct {
+	lag time.Duration
+
+	mu  sync.Mutex
+	all []timedLoad
+}
+
+type timedLoad struct {
+	at   time.Time
+	load bergamotdale.EngineLoad
+}
+
+func (r *reports) add(now time.Time, l bergamotdale.EngineLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, timedLoad{now, l})
+	r.trim(now)
+}
+
+// trim drops the loads that are older than the newest one that can be seen.
+func (r *reports) trim(now time.Time) {
+	for len(r.all) > 1 && now.Sub(r.all[1].at) >= r.lag {
+		r.all = r.all[1:]
+	}
+}
+
+// seen returns the load as it was before the lag.
+func (r *reports) seen(now time.Time) bergamotdale.EngineLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trim(now)
+	l := r.all[0].load
+	l.AgeMS = r.lag.Milliseconds()
+	return l
+}
--- /dev/null
+++ b/platformclient/platformclient.go
@@ -0,0 +1,175 @@
+// Package platformclient reaches the platform over HTTP: the key-value store
+// through the API of Consul as published, and the VM list.
+//
+// A write is sent at most once. If its response is lost the error is
+// ErrAmbiguous; if no byte of it was written, or the store refused it, the
+// error is ErrUnavailable. A call moves on to the next address only while it
+// is known that the store didn't execute it, except for reads.
+package platformclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/requester"
+)
+
+const (
+	// defaultTimeout is far above the store's usual response time of
+	// milliseconds and below the renewal interval of a lease.
+	defaultTimeout = 2 * time.Second
+	// maxResponse covers a list of many keys, in bytes.
+	maxResponse = 256 << 20
+	// indexHeader carries the index to pass to the next blocking query.
+	indexHeader = "X-Consul-Index"
+)
+
+// Client implements bergamotdale.Store and bergamotdale.VMLister.
+type Client struct {
+	// Addresses are host:port of the store's servers. A call starts at the
+	// server that answered last.
+	Addresses []string
+	// VMAddress is host:port of the VM list; empty selects Addresses.
+	VMAddress string
+	// Caller names this process to the platform.
+	Caller string
+	// Timeout bounds the time that one server gets for a response, without
+	// the waiting time of a watch. Zero selects 2 s.
+	Timeout time.Duration
+	// HTTP sends the requests.
+	HTTP requester.Client
+
+	// preferred is the index of the server that answered last.
+	preferred atomic.Int64
+}
+
+var (
+	_ bergamotdale.Store    = (*Client)(nil)
+	_ bergamotdale.VMLister = (*Client)(nil)
+)
+
+// call is one call of the API.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	// read marks a call that may be executed several times.
+	read bool
+	// wait is the time that the server may block.
+	wait time.Duration
+}
+
+// response is a complete response of the API.
+type response struct {
+	status int
+	index  int64
+	body   []byte
+}
+
+// do sends the call to the addresses in turn until one answers.
+func (c *Client) do(ctx context.Context, k call, addresses []string) (response, error) {
+	if len(addresses) == 0 {
+		return response{}, errors.Annotate(bergamotdale.ErrUnavailable, "no store address")
+	}
+	first := int(c.preferred.Load())
+	var last error
+	for n := range addresses {
+		at := (first + n) % len(addresses)
+		r, err := c.send(ctx, k, addresses[at])
+		if err == nil {
+			c.preferred.Store(int64(at))
+			return r, nil
+		}
+		last = err
+		if ctx.Err() != nil || errors.Is(err, bergamotdale.ErrAmbiguous) {
+			break
+		}
+	}
+	return response{}, last
+}
+
+// send sends the call to one address.
+func (c *Client) send(ctx context.Context, k call, address string) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout()+k.wait+k.wait/16)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: address, Path: k.path, RawQuery: k.query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, k.method, u.String(), bytes.NewReader(k.body))
+	if err != nil {
+		return response{}, errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: %v", address, err)
+	}
+	if c.Caller != "" {
+		req.Header.Set(requester.CallerHeader, c.Caller)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return response{}, k.failure(address, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil {
+		return response{}, k.failure(address, err)
+	}
+	return k.check(address, resp, body)
+}
+
+// check converts statuses by which the store refuses a call.
+func (k call) check(address string, resp *http.Response, body []byte) (response, error) {
+	text := strings.TrimSpace(string(body[:min(len(body), 200)]))
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return response{}, errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: status %d: %s", address, resp.StatusCode, text)
+	case resp.StatusCode >= http.StatusInternalServerError && strings.Contains(text, "invalid session"):
+		return response{}, errors.Annotatef(bergamotdale.ErrNotFound, "store %s: %s", address, text)
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return response{}, k.failure(address, errors.Errorf("status %d: %s", resp.StatusCode, text))
+	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode != http.StatusNotFound:
+		return response{}, errors.Errorf("store %s: status %d: %s", address, resp.StatusCode, text)
+	}
+	index, _ := strconv.ParseInt(resp.Header.Get(indexHeader), 10, 64)
+	return response{status: resp.StatusCode, index: index, body: body}, nil
+}
+
+// failure converts a missing response.
+func (k call) failure(address string, err error) error {
+	unsent := &requester.Error{}
+	if k.read || (errors.As(err, &unsent) && !unsent.Written) {
+		return errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: %v", address, err)
+	}
+	return errors.Annotatef(bergamotdale.ErrAmbiguous, "store %s: %v", address, err)
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return defaultTimeout
+}
+
+// ListVMs implements bergamotdale.VMLister.
+func (c *Client) ListVMs(ctx context.Context) ([]bergamotdale.VM, error) {
+	addresses := c.Addresses
+	if c.VMAddress != "" {
+		addresses = []string{c.VMAddress}
+	}
+	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/vms", read: true}, addresses)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var vms []bergamotdale.VM
+	if err := json.Unmarshal(r.body, &vms); err != nil {
+		return nil, errors.Annotate(err, "VM list")
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/platformclient/platformclient_test.go
@@ -0,0 +1,97 @@
+package platformclient_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/platformclient"
+	"github.com/bergamotdale/bergamotdale/platformserver"
+)
+
+func start(t *testing.T, s *platformserver.Server) *platformclient.Client {
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(h.Close)
+	return &platformclient.Client{Addresses: []string{strings.TrimPrefix(h.URL, "http://")}, Caller: "r1"}
+}
+
+// Guards against a swap that ignores the version or reports a wrong new one.
+func TestCompareAndSwap(t *testing.T) {
+	c, ctx := start(t, &platformserver.Server{}), context.Background()
+	e, err := c.CompareAndSwap(ctx, "a/b", []byte("1"), 0)
+	assert.NilError(t, err)
+	_, err = c.CompareAndSwap(ctx, "a/b", []byte("2"), 0)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrConflict), "%v", err)
+	e2, err := c.CompareAndSwap(ctx, "a/b", []byte("2"), e.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, e2.Version > e.Version)
+	assert.Assert(t, errors.Is(c.Delete(ctx, "a/b", e.Version), bergamotdale.ErrConflict))
+	assert.NilError(t, c.Delete(ctx, "a/b", e2.Version))
+	_, err = c.Get(ctx, "a/b")
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrNotFound), "%v", err)
+}
+
+// Guards against a watch that misses the creation or the next change of a key.
+func TestWatch(t *testing.T) {
+	c, ctx := start(t, &platformserver.Server{}), context.Background()
+	seen := make(chan bergamotdale.Entry)
+	go func() {
+		e, _ := c.Watch(ctx, "k", 0, 30*time.Second)
+		seen <- e
+		e, _ = c.Watch(ctx, "k", e.Version, 30*time.Second)
+		seen <- e
+	}()
+	e, err := c.CompareAndSwap(ctx, "k", []byte("1"), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string((<-seen).Value), "1")
+	_, err = c.CompareAndSwap(ctx, "k", []byte("2"), e.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, string((<-seen).Value), "2")
+}
+
+// Guards against keys that outlive their lease and renewals of an expired one.
+func TestLease(t *testing.T) {
+	c, ctx := start(t, &platformserver.Server{}), context.Background()
+	id, err := c.GrantLease(ctx, 50*time.Millisecond)
+	assert.NilError(t, err)
+	assert.NilError(t, c.PutWithLease(ctx, "router/r1", []byte("x"), id))
+	e, err := c.Get(ctx, "router/r1")
+	assert.NilError(t, err)
+	_, err = c.Watch(ctx, "router/r1", e.Version, 30*time.Second)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrNotFound), "%v", err)
+	assert.Assert(t, errors.Is(c.RenewLease(ctx, id), bergamotdale.ErrNotFound))
+	err = c.PutWithLease(ctx, "router/r1", []byte("x"), id)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrNotFound), "%v", err)
+}
+
+// Guards against a write whose response was lost being reported as failed.
+func TestLostResponseIsAmbiguous(t *testing.T) {
+	s := &platformserver.Server{Faults: &injector.Injector{}}
+	c, ctx := start(t, s), context.Background()
+	s.Faults.Add(injector.Fault{Kind: injector.LoseResponse, Method: "PUT", Count: 1})
+	_, err := c.CompareAndSwap(ctx, "k", []byte("1"), 0)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrAmbiguous), "%v", err)
+	e, err := c.Get(ctx, "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(e.Value), "1")
+}
+
+// Guards against a call that never left being reported as ambiguous, and
+// against an address that is down making the others unused.
+func TestUnreachableAddress(t *testing.T) {
+	c, ctx := start(t, &platformserver.Server{}), context.Background()
+	good := c.Addresses[0]
+	c.Addresses = []string{"127.0.0.1:1"}
+	_, err := c.CompareAndSwap(ctx, "k", []byte("1"), 0)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable), "%v", err)
+	c.Addresses = []string{"127.0.0.1:1", good}
+	_, err = c.CompareAndSwap(ctx, "k", []byte("1"), 0)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/platformserver/handler.go
@@ -0,0 +1,210 @@
+package platformserver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/requester"
+)
+
+const (
+	// indexHeader carries the index to pass to the next blocking query.
+	indexHeader = "X-Consul-Index"
+	// defaultWait and maxWait bound a blocking query.
+	defaultWait = 5 * time.Minute
+	maxWait     = 10 * time.Minute
+)
+
+// read serves GET of a key or prefix, blocking if an index is given.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	index, err := optionalInt(q.Get("index"))
+	if err != nil {
+		http.Error(w, "Invalid index", http.StatusBadRequest)
+		return
+	}
+	wait := waitTime(q.Get("wait"))
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		found, current, changed := s.store.get(r.PathValue("key"), q.Has("recurse") || q.Has("keys"))
+		if index <= 0 || current > index {
+			writeEntries(w, q, found, current)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			writeEntries(w, q, found, current)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeEntries(w http.ResponseWriter, q map[string][]string, found []entry, index int64) {
+	w.Header().Set(indexHeader, strconv.FormatInt(index, 10))
+	if len(found) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if _, ok := q["raw"]; ok {
+		_, _ = w.Write(found[0].Value)
+		return
+	}
+	if _, ok := q["keys"]; ok {
+		keys := make([]string, 0, len(found))
+		for _, e := range found {
+			keys = append(keys, e.Key)
+		}
+		injector.WriteJSON(w, http.StatusOK, keys)
+		return
+	}
+	injector.WriteJSON(w, http.StatusOK, found)
+}
+
+// write serves PUT of a key with at most one of cas, acquire and release.
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	q, key := r.URL.Query(), r.PathValue("key")
+	flags, _ := strconv.ParseUint(q.Get("flags"), 10, 64)
+	holds, err := casCondition(q.Get("cas"))
+	if err != nil {
+		http.Error(w, "Invalid cas", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
+	if err != nil {
+		return
+	}
+	if len(value) > maxValue {
+		http.Error(w, "Request body too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	switch {
+	case q.Has("acquire"):
+		acquired, valid := s.store.acquire(key, value, flags, q.Get("acquire"))
+		if !valid {
+			http.Error(w, "invalid session "+strconv.Quote(q.Get("acquire")), http.StatusInternalServerError)
+			return
+		}
+		injector.WriteJSON(w, http.StatusOK, acquired)
+	case q.Has("release"):
+		injector.WriteJSON(w, http.StatusOK, s.store.release(key, value, flags, q.Get("release")))
+	default:
+		injector.WriteJSON(w, http.StatusOK, s.store.put(key, value, flags, holds))
+	}
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	q, key := r.URL.Query(), r.PathValue("key")
+	if q.Has("recurse") {
+		s.store.removePrefix(key)
+		injector.WriteJSON(w, http.StatusOK, true)
+		return
+	}
+	holds, err := casCondition(q.Get("cas"))
+	if err != nil {
+		http.Error(w, "Invalid cas", http.StatusBadRequest)
+		return
+	}
+	injector.WriteJSON(w, http.StatusOK, s.store.remove(key, holds))
+}
+
+// casCondition parses the cas parameter. Zero means that the key must not
+// exist; without the parameter the write is unconditional.
+func casCondition(cas string) (precondition, error) {
+	if cas == "" {
+		return func(entry, bool) bool { return true }, nil
+	}
+	version, err := strconv.ParseInt(cas, 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return func(e entry, exists bool) bool {
+		return exists == (version != 0) && e.ModifyIndex == version
+	}, nil
+}
+
+func (s *Server) createSession(w http.ResponseWriter, r *http.Request) {
+	v := session{}
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil && err != io.EOF {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(0)
+	if v.TTL != "" {
+		var err error
+		if ttl, err = time.ParseDuration(v.TTL); err != nil || ttl <= 0 {
+			http.Error(w, "Invalid Session TTL", http.StatusBadRequest)
+			return
+		}
+	}
+	if v.Behavior == "" {
+		v.Behavior = "release"
+	}
+	id := s.store.createSession(v, ttl)
+	injector.WriteJSON(w, http.StatusOK, struct{ ID string }{id})
+}
+
+func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
+	v, ok := s.store.renewSession(r.PathValue("id"))
+	if !ok {
+		http.Error(w, "Session id not found", http.StatusNotFound)
+		return
+	}
+	injector.WriteJSON(w, http.StatusOK, []session{v})
+}
+
+func (s *Server) destroySession(w http.ResponseWriter, r *http.Request) {
+	s.store.endSession(r.PathValue("id"))
+	injector.WriteJSON(w, http.StatusOK, true)
+}
+
+func (s *Server) sessionInfo(w http.ResponseWriter, r *http.Request) {
+	found := []session{}
+	if v, ok := s.store.sessionInfo(r.PathValue("id")); ok {
+		found = append(found, v)
+	}
+	injector.WriteJSON(w, http.StatusOK, found)
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
+	caller := r.Header.Get(requester.CallerHeader)
+	s.counts.add(caller, kindVMs)
+	injector.WriteJSON(w, http.StatusOK, s.vms.seen(time.Now(), caller))
+}
+
+// putVMs sets the VM list, or what the caller in the query sees.
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []bergamotdale.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if caller := r.URL.Query().Get("caller"); caller != "" {
+		s.vms.override(caller, vms)
+		return
+	}
+	s.vms.set(time.Now(), vms)
+}
+
+func optionalInt(v string) (int64, error) {
+	if v == "" {
+		return 0, nil
+	}
+	return strconv.ParseInt(v, 10, 64)
+}
+
+func waitTime(v string) time.Duration {
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 {
+		return defaultWait
+	}
+	return min(d, maxWait)
+}
--- /dev/null
+++ b/serviceclient/serviceclient_test.go
@@ -0,0 +1,52 @@
+package serviceclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/serviceclient"
+	"github.com/bergamotdale/bergamotdale/serviceserver"
+)
+
+// Guards against a wrong outcome for each way in which a call can fail, and
+// against a second execution by a repeated request.
+func TestOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		fault      injector.Kind
+		outcome    bergamotdale.Outcome
+		executions int
+	}{
+		{"success", "", "", 1},
+		{"refused", injector.Refuse, bergamotdale.OutcomeNotRun, 0},
+		{"response lost", injector.LoseResponse, bergamotdale.OutcomeUnknown, 1},
+		{"cut before execution", injector.Outage, bergamotdale.OutcomeUnknown, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &serviceserver.Server{Faults: &injector.Injector{}}
+			h := httptest.NewServer(s.Handler())
+			defer h.Close()
+			c := &serviceclient.Client{}
+			address := strings.TrimPrefix(h.URL, "http://")
+			_, err := c.Call(context.Background(), address, bergamotdale.ServiceRequest{Call: "warm"})
+			assert.NilError(t, err)
+			if tc.fault != "" {
+				s.Faults.Add(injector.Fault{Kind: tc.fault})
+			}
+			r := bergamotdale.ServiceRequest{RequestID: "1", IdempotencyKey: "k", Call: "book", Body: json.RawMessage(`{"a":1}`)}
+			_, err = c.Call(context.Background(), address, r)
+			refusal := &bergamotdale.Refusal{}
+			assert.Equal(t, errors.As(err, &refusal), tc.fault != "")
+			assert.Equal(t, refusal.Outcome, tc.outcome)
+			assert.Equal(t, s.Counters().ByKey["k"], tc.executions)
+		})
+	}
+}
