--- /dev/null
+++ b/loader/size.go
@@ -0,0 +1,54 @@
+package loader
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Size is a number of bytes. Its text form has a binary unit: 512B, 64KiB,
+// 8MiB or 1GiB.
+type Size int64
+
+var sizeUnits = []struct {
+	suffix string
+	bytes  Size
+}{
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+	{"B", 1},
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range sizeUnits {
+		digits, ok := strings.CutSuffix(string(text), u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 32)
+		if err != nil || n < 0 {
+			break
+		}
+		*s = Size(n) * u.bytes
+		return nil
+	}
+	return errors.Errorf("%q is not a size", text)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Size) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// String returns the size in the largest unit that divides it.
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if s != 0 && s%u.bytes == 0 {
+			return strconv.FormatInt(int64(s/u.bytes), 10) + u.suffix
+		}
+	}
+	return "0B"
+}
