--- /dev/null
+++ b/validator/section.go
@@ -0,0 +1,126 @@
+package validator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale/hasher"
+)
+
+// RoutingSection is the name of the section with everything but workspaces.
+const RoutingSection = "routing"
+
+// WorkspaceSections is the number of sections that workspaces are spread over.
+// At 3,500 workspaces a change of one workspace then transfers a sixteenth of
+// them.
+const WorkspaceSections = 16
+
+// Section is a part of a document that is stored under its hash. Its data is
+// JSON: it is decoded faster than YAML, and a router that does not know a
+// newer field ignores it instead of refusing the revision during an upgrade.
+type Section struct {
+	Name string
+	// Hash is the SHA-256 of Data in hexadecimal digits.
+	Hash string
+	Data []byte
+}
+
+// HashSection returns the hash under which section data is stored.
+func HashSection(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// SectionNames returns the names of all sections.
+func SectionNames() []string {
+	names := []string{RoutingSection}
+	for i := range WorkspaceSections {
+		names = append(names, workspaceSection(i))
+	}
+	return names
+}
+
+func workspaceSection(i int) string {
+	return fmt.Sprintf("workspaces-%02d", i)
+}
+
+// Split returns the sections of the document. Equal documents have equal
+// sections, whatever the layout of their YAML and the order of workspaces.
+func (d *Document) Split() ([]Section, error) {
+	routing := *d
+	routing.Workspaces = nil
+	var parts [WorkspaceSections][]WorkspaceSpec
+	for _, w := range d.Workspaces {
+		i := hasher.Hash(w.Name) % WorkspaceSections
+		parts[i] = append(parts[i], w)
+	}
+	sections := make([]Section, 0, 1+WorkspaceSections)
+	first, err := newSection(RoutingSection, routing)
+	if err != nil {
+		return nil, err
+	}
+	sections = append(sections, first)
+	for i, part := range parts {
+		sortSpecs(part)
+		s, err := newSection(workspaceSection(i), part)
+		if err != nil {
+			return nil, err
+		}
+		sections = append(sections, s)
+	}
+	return sections, nil
+}
+
+func newSection(name string, v any) (Section, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return Section{}, errors.Annotatef(err, "section %s", name)
+	}
+	return Section{Name: name, Hash: HashSection(data), Data: data}, nil
+}
+
+// Join returns the document of the sections, whose data is found by name.
+// Workspaces are in the order of their names.
+func Join(data map[string][]byte) (*Document, error) {
+	d := &Document{}
+	for _, name := range SectionNames() {
+		section, ok := data[name]
+		if !ok {
+			return nil, errors.NotFoundf("section %s", name)
+		}
+		if err := d.decodeSection(name, section); err != nil {
+			return nil, errors.Annotatef(err, "section %s", name)
+		}
+	}
+	sortSpecs(d.Workspaces)
+	return d, nil
+}
+
+func (d *Document) decodeSection(name string, data []byte) error {
+	if name == RoutingSection {
+		return json.Unmarshal(data, d)
+	}
+	var part []WorkspaceSpec
+	if err := json.Unmarshal(data, &part); err != nil {
+		return err
+	}
+	d.Workspaces = append(d.Workspaces, part...)
+	return nil
+}
+
+func sortSpecs(all []WorkspaceSpec) {
+	slices.SortFunc(all, func(a, b WorkspaceSpec) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// YAML returns the document as operators write it, without comments.
+func (d *Document) YAML() ([]byte, error) {
+	text, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true))
+	return text, errors.Trace(err)
+}
