follower: follow and commit configuration revisions in the store

Ruled out: one store key for each revision's history entry, which needs a second write that can fail on its own. The head carries the history and is written by one compare-and-swap.

Change: Follower with long poll, hints from peers, start from several peers and the store, Apply with nonce read-back and conflict differences, deletion of sections that the history no longer reaches.

Conclusion: a first test applies two revisions over two routers; faults are not tested yet.

--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,163 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/storetester"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// fleet is a set of followers that share a store and reach each other.
+type fleet struct {
+	t     *testing.T
+	clock *storetester.Clock
+	store *storetester.Store
+
+	mu      sync.Mutex
+	routers map[string]*follower.Follower
+}
+
+func newFleet(t *testing.T) *fleet {
+	c := storetester.NewClock(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC))
+	return &fleet{t: t, clock: c, store: storetester.New(c), routers: map[string]*follower.Follower{}}
+}
+
+type discard struct{}
+
+func (discard) Record(bergamotdale.Event) {}
+
+// start runs a follower until the test ends.
+func (fl *fleet) start(name string) *follower.Follower {
+	return fl.startOn(name, fl.store)
+}
+
+func (fl *fleet) startOn(name string, store bergamotdale.Store) *follower.Follower {
+	f := &follower.Follower{
+		Router: name, Store: store, Peer: fl, Clock: fl.clock,
+		Recorder: discard{}, Logger: zap.NewNop(),
+		Peers: func() []string { return fl.others(name) },
+	}
+	fl.mu.Lock()
+	fl.routers[name] = f
+	fl.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- f.Run(ctx) }()
+	fl.t.Cleanup(func() {
+		cancel()
+		assert.NilError(fl.t, <-done)
+	})
+	return f
+}
+
+func (fl *fleet) others(name string) []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var all []string
+	for n := range fl.routers {
+		if n != name {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// Call implements bergamotdale.Peer and passes every message through JSON.
+func (fl *fleet) Call(ctx context.Context, address, path string, request, response any) error {
+	fl.mu.Lock()
+	f := fl.routers[address]
+	fl.mu.Unlock()
+	if f == nil || path != "config" {
+		return bergamotdale.Refuse(bergamotdale.CodePeer, "no router %s", address)
+	}
+	answer, err := f.HandleConfig(ctx, request.(follower.ConfigRequest))
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, response)
+}
+
+// Stream implements bergamotdale.Peer.
+func (fl *fleet) Stream(context.Context, string, string, any) (bergamotdale.FrameStream, error) {
+	panic("not used")
+}
+
+// eventually advances the clock until the condition holds.
+func (fl *fleet) eventually(format string, args []any, holds func() bool) {
+	fl.t.Helper()
+	poll.WaitOn(fl.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		fl.clock.Advance(50 * time.Millisecond)
+		return poll.Continue("%s", fmt.Sprintf(format, args...))
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func (fl *fleet) inForce(revision int64, all ...*follower.Follower) {
+	fl.t.Helper()
+	for _, f := range all {
+		fl.eventually("%s has not reached revision %d", []any{f.Router, revision}, func() bool {
+			return f.Status().Revision == revision
+		})
+	}
+}
+
+func document(t *testing.T) *validator.Document {
+	data, err := os.ReadFile("testdata/first.yaml")
+	assert.NilError(t, err)
+	d, err := validator.Parse("first.yaml", data)
+	assert.NilError(t, err)
+	return d
+}
+
+// weighted returns the document with another weight of the first workspace.
+func weighted(t *testing.T, weight float64) *validator.Document {
+	d := document(t)
+	d.Workspaces[0].Weight = weight
+	return d
+}
+
+func apply(f *follower.Follower, base int64, d *validator.Document) (follower.ApplyResult, error) {
+	return f.Apply(context.Background(), follower.ApplyRequest{
+		Base: base, Document: d, Author: "jiwoo", Comment: fmt.Sprintf("after %d", base),
+	})
+}
+
+// Guards against a revision that does not reach every router, and against
+// a change that writes more sections than it changes.
+func TestApplyReachesEveryRouter(t *testing.T) {
+	fl := newFleet(t)
+	a, b := fl.start("a"), fl.start("b")
+	<-a.Started()
+	result, err := apply(a, 0, document(t))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, int64(1))
+	fl.inForce(1, a, b)
+
+	before := fl.store.Count(storetester.OpCompareAndSwap)
+	result, err = apply(b, 1, weighted(t, 7))
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Sections), 1)
+	assert.Equal(t, fl.store.Count(storetester.OpCompareAndSwap)-before, 2)
+	fl.inForce(2, a, b)
+	w, ok := a.Current().Workspace("inn")
+	assert.Assert(t, ok)
+	assert.Equal(t, w.Weight(), 7.0)
+}
