--- /dev/null
+++ b/gossiper/piggyback.go
@@ -0,0 +1,139 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+// piggyback returns up to room queued updates. What this router believes of
+// the receiver goes first if it is not alive, so that it can refute at once.
+func (m *Machine) piggyback(now time.Time, room int, about string) ([]MemberUpdate, []Rumour) {
+	var members []MemberUpdate
+	var rumours []Rumour
+	if r := m.records[about]; r != nil && rank(r.State) >= rank(bergamotdale.MemberSuspect) {
+		members = append(members, r.MemberUpdate)
+	}
+	for _, key := range m.queue.take(room-len(members), len(m.order)+1) {
+		name, rumour := split(key)
+		if rumour {
+			if r := m.rumours[name]; r != nil && now.Before(r.Expires) {
+				rumours = append(rumours, r.wire(now))
+			}
+			continue
+		}
+		if r := m.records[name]; r != nil && name != about {
+			members = append(members, r.MemberUpdate)
+		}
+		// The router itself travels as From of every message that it sends,
+		// but reaches others only through them.
+	}
+	assert(len(members)+len(rumours) <= MaxPiggyback, "%d updates in a message", len(members)+len(rumours))
+	return members, rumours
+}
+
+// receive merges the content of a message.
+func (m *Machine) receive(now time.Time, from MemberUpdate, storeAgeMS int64, members []MemberUpdate, rumours []Rumour) {
+	for _, u := range members[:min(len(members), MaxPiggyback)] {
+		m.merge(now, u)
+	}
+	m.merge(now, from)
+	for _, r := range rumours[:min(len(rumours), MaxPiggyback)] {
+		m.hear(now, RumourEntry{
+			Key: r.Key, Value: r.Value, Version: r.Version,
+			Expires: now.Add(time.Duration(r.TTLMS) * time.Millisecond),
+		})
+	}
+	if storeAgeMS >= 0 {
+		m.SetStoreContact(now.Add(-time.Duration(storeAgeMS) * time.Millisecond))
+	}
+}
+
+// page returns the live members and the rumours after the cursor, and the
+// cursor of the next page.
+func (m *Machine) page(now time.Time, about, after string) (members []MemberUpdate, rumours []Rumour, next string) {
+	if r := m.records[about]; r != nil && rank(r.State) >= rank(bergamotdale.MemberSuspect) {
+		members = append(members, r.MemberUpdate)
+	}
+	keys := make([]string, 0, len(m.records)+len(m.rumours))
+	for id, r := range m.records {
+		if r.live() && id != about {
+			keys = append(keys, memberKey(id))
+		}
+	}
+	for key, r := range m.rumours {
+		if now.Before(r.Expires) {
+			keys = append(keys, rumourKey(key))
+		}
+	}
+	slices.Sort(keys)
+	start, found := slices.BinarySearch(keys, after)
+	if found {
+		start++
+	}
+	end := min(len(keys), start+MaxPiggyback-len(members))
+	for _, key := range keys[start:end] {
+		name, rumour := split(key)
+		if rumour {
+			rumours = append(rumours, m.rumours[name].wire(now))
+		} else {
+			members = append(members, m.records[name].MemberUpdate)
+		}
+	}
+	if end < len(keys) {
+		next = keys[end-1]
+	}
+	return members, rumours, next
+}
+
+// Spread makes a rumour known to the fleet.
+func (m *Machine) Spread(now time.Time, key, value string, version int64, ttl time.Duration) {
+	m.hear(now, RumourEntry{Key: key, Value: value, Version: version, Expires: now.Add(ttl)})
+}
+
+// hear keeps a rumour with a version above the known one and passes it on.
+func (m *Machine) hear(now time.Time, r RumourEntry) {
+	if !now.Before(r.Expires) || r.Key == "" {
+		return
+	}
+	known := m.rumours[r.Key]
+	if known != nil && known.Version >= r.Version {
+		return
+	}
+	if known == nil && len(m.rumours) >= m.config.MaxRumours {
+		m.stats.DroppedRumours++
+		return
+	}
+	m.rumours[r.Key] = &r
+	m.version++
+	m.queue.add(rumourKey(r.Key))
+}
+
+func (r *RumourEntry) wire(now time.Time) Rumour {
+	return Rumour{Key: r.Key, Value: r.Value, Version: r.Version, TTLMS: r.Expires.Sub(now).Milliseconds()}
+}
+
+// SetStoreContact records a contact of any router with the store.
+func (m *Machine) SetStoreContact(at time.Time) {
+	if at.After(m.storeContact) {
+		m.storeContact = at
+	}
+}
+
+// StoreAge returns the time since the latest contact of any router with the
+// store that this router knows of.
+func (m *Machine) StoreAge(now time.Time) (time.Duration, bool) {
+	if m.storeContact.IsZero() {
+		return 0, false
+	}
+	return max(0, now.Sub(m.storeContact)), true
+}
+
+func (m *Machine) storeAgeMS(now time.Time) int64 {
+	age, ok := m.StoreAge(now)
+	if !ok {
+		return neverAge
+	}
+	return age.Milliseconds()
+}
--- /dev/null
+++ b/gossiper/view.go
@@ -0,0 +1,88 @@
+package gossiper
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+// View is an immutable snapshot of what a router knows of its fleet. The
+// slices that it returns are shared and must not be changed.
+type View struct {
+	version uint64
+	// members holds all known members by ID, dead and left ones included.
+	members []bergamotdale.Member
+	// live holds the members that are alive, suspect or draining.
+	live []bergamotdale.Member
+	// owners holds the IDs of live members that may take ownership.
+	owners []string
+	// rumours holds the rumours by key.
+	rumours []RumourEntry
+}
+
+// RumourEntry is a rumour with its local expiry.
+type RumourEntry struct {
+	Key     string
+	Value   string
+	Version int64
+	Expires time.Time
+}
+
+// Version rises with each change of the view.
+func (v *View) Version() uint64 {
+	return v.version
+}
+
+// Members returns all members by ID, with dead and left ones that are still
+// remembered.
+func (v *View) Members() []bergamotdale.Member {
+	return v.members
+}
+
+// Live returns the members that are alive, suspect or draining, by ID. The
+// router itself is one of them until it leaves.
+func (v *View) Live() []bergamotdale.Member {
+	return v.live
+}
+
+// Owners returns the IDs of live members that are not draining, in order.
+// Suspects count until they are dead, so that a lost probe moves no ownership.
+func (v *View) Owners() []string {
+	return v.owners
+}
+
+// Member returns the member with the ID.
+func (v *View) Member(id string) (bergamotdale.Member, bool) {
+	i, ok := slices.BinarySearchFunc(v.members, id, func(m bergamotdale.Member, id string) int {
+		return strings.Compare(m.ID, id)
+	})
+	if !ok {
+		return bergamotdale.Member{}, false
+	}
+	return v.members[i], true
+}
+
+// Rumour returns the rumour with the key unless it has expired.
+func (v *View) Rumour(key string, now time.Time) (RumourEntry, bool) {
+	i, ok := slices.BinarySearchFunc(v.rumours, key, func(r RumourEntry, key string) int {
+		return strings.Compare(r.Key, key)
+	})
+	if !ok || !now.Before(v.rumours[i].Expires) {
+		return RumourEntry{}, false
+	}
+	return v.rumours[i], true
+}
+
+// Rumours returns the rumours whose keys start with the prefix, by key, without
+// expired ones.
+func (v *View) Rumours(prefix string, now time.Time) []RumourEntry {
+	var found []RumourEntry
+	for _, r := range v.rumours {
+		if strings.HasPrefix(r.Key, prefix) && now.Before(r.Expires) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
