--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -73,10 +73,9 @@
 	defer a.mu.Unlock()
 	a.policy = policy
 	a.assignment = assignment
-	if assignment.Confirmed {
-		a.ownership.Confirm()
+	if assignment.Confirmed && a.ownership.Standing() == limiter.StandingClaimed {
+		a.ownership.Confirm(0)
 	}
-	a.ownership.SetExpired(assignment.Expired)
 	a.signal()
 }
 
@@ -109,6 +108,7 @@
 	for _, refused := range a.queue.Expire(now) {
 		a.refuse(refused)
 	}
+	a.ownership.SetExpired(a.dispatcher.Ownership.Expired())
 	a.queue.SetLimit(now, a.ownership.Limit(a.limit.Limit()))
 	decision := a.queue.Next(now)
 	for _, item := range decision.Preempt {
@@ -154,7 +154,7 @@
 // check refuses a completion that must not be queued here.
 func (a *admission) check(c bergamotdale.Completion) error {
 	switch {
-	case a.released:
+	case a.released, !a.dispatcher.Ownership.Admits(c.Endpoint):
 		return bergamotdale.Refuse(bergamotdale.CodeNotOwner, "this router no longer owns %s", c.Endpoint)
 	case a.assignment.Draining:
 		return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "%s is draining", c.Endpoint).
@@ -305,7 +305,11 @@
 		Slots:   load.Slots,
 	}
 	a.limit.Report(now, report, a.queue.Running())
+	claimed := a.ownership.Standing() == limiter.StandingClaimed
 	a.ownership.Report(report)
+	if claimed && a.ownership.Standing() == limiter.StandingConfirmed {
+		a.dispatcher.Ownership.Confirmed(a.assignment.Name, a.assignment.Epoch)
+	}
 	a.crash.incarnation = load.Incarnation
 	a.signal()
 }
@@ -321,22 +325,24 @@
 	}
 }
 
-func (a *admission) exportOverrides() map[uint64]string {
+// handover returns the state for the next owner.
+func (a *admission) handover() Handover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make(map[uint64]string, a.overrides.Len())
+	h := Handover{Overrides: make(map[uint64]string, a.overrides.Len()), Running: a.queue.Running()}
 	a.overrides.Each(func(key uint64, endpoint string) bool {
-		out[key] = endpoint
+		h.Overrides[key] = endpoint
 		return true
 	})
-	return out
+	return h
 }
 
-func (a *admission) confirm(overrides map[uint64]string) {
+// receive applies the state of the previous owner.
+func (a *admission) receive(h Handover) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ownership.Confirm()
-	for key, endpoint := range overrides {
+	a.ownership.Confirm(h.Running)
+	for key, endpoint := range h.Overrides {
 		a.overrides.PutKey(key, endpoint)
 	}
 	a.signal()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -42,12 +42,19 @@
 	MaxConcurrency int
 	Epoch          int64
 	Draining       bool
-	// Confirmed is true where the previous owner handed the engine over, or
-	// where there was none.
+	// Confirmed is true where no previous owner can admit work any more.
 	Confirmed bool
-	// Expired is true where the router's lease is not known to be valid while
-	// another router may have claimed the engine.
-	Expired bool
+}
+
+// Ownership tells how sure this router is that it alone owns an engine.
+type Ownership interface {
+	// Admits reports whether this router may admit work to the engine now.
+	Admits(endpoint string) bool
+	// Expired reports whether the lease is not known to be valid while another
+	// router may have claimed the engine.
+	Expired() bool
+	// Confirmed records that a load report has shown no foreign load.
+	Confirmed(endpoint string, epoch int64)
 }
 
 // Loads gives the shared load of a model group.
@@ -78,6 +85,7 @@
 	Clock      bergamotdale.Clock
 	Recorder   bergamotdale.Recorder
 	Logger     *zap.Logger
+	Ownership  Ownership
 	Loads      Loads
 	Quarantine Quarantine
 	Replayer   *streamer.Replayer
@@ -93,7 +101,9 @@
 	jobs sync.WaitGroup
 	// readers counts the open streams of each running request.
 	readers map[string]*audience
-	ctx     context.Context
+	// received holds handovers of engines that are not assigned yet.
+	received map[string]Handover
+	ctx      context.Context
 }
 
 // Run keeps the admissions working until the context is done.
@@ -102,6 +112,7 @@
 	d.ctx = ctx
 	d.admissions = map[string]*admission{}
 	d.readers = map[string]*audience{}
+	d.received = map[string]Handover{}
 	d.mu.Unlock()
 	for bergamotdale.Wait(ctx, d.Clock, streamer.Retention/4) == nil {
 		d.Replayer.Sweep()
@@ -132,7 +143,12 @@
 			a.update(policy, assignment)
 			continue
 		}
-		d.admissions[assignment.Name] = newAdmission(d, policy, assignment)
+		a = newAdmission(d, policy, assignment)
+		if h, ok := d.received[assignment.Name]; ok {
+			a.receive(h)
+			delete(d.received, assignment.Name)
+		}
+		d.admissions[assignment.Name] = a
 	}
 }
 
@@ -191,25 +207,35 @@
 	return loads
 }
 
-// Overrides returns the placement overrides of an owned engine, for a handover.
-func (d *Dispatcher) Overrides(endpoint string) map[uint64]string {
+// Handover is what the next owner of an engine needs to know.
+type Handover struct {
+	// Overrides maps hashes of chats to the endpoints that they were placed at.
+	Overrides map[uint64]string `json:"overrides,omitempty"`
+	// Running is the number of requests that finish at the previous owner.
+	Running int `json:"running"`
+}
+
+// Handover returns the state of an owned engine for its next owner.
+func (d *Dispatcher) Handover(endpoint string) (Handover, bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	a := d.admissions[endpoint]
-	d.mu.Unlock()
 	if a == nil {
-		return nil
+		return Handover{}, false
 	}
-	return a.exportOverrides()
+	return a.handover(), true
 }
 
-// Confirm records a handover by the previous owner with its overrides.
-func (d *Dispatcher) Confirm(endpoint string, overrides map[uint64]string) {
+// Receive keeps the state that the previous owner of an engine has handed over.
+// It is used when the engine is assigned.
+func (d *Dispatcher) Receive(endpoint string, h Handover) {
 	d.mu.Lock()
-	a := d.admissions[endpoint]
-	d.mu.Unlock()
-	if a != nil {
-		a.confirm(overrides)
+	defer d.mu.Unlock()
+	if a := d.admissions[endpoint]; a != nil {
+		a.receive(h)
+		return
 	}
+	d.received[endpoint] = h
 }
 
 // Stop refuses new requests from now on. Running and queued ones finish.
--- a/elector/record.go
+++ b/elector/record.go
@@ -13,7 +13,7 @@
 	routerPrefix   = "router/"
 	endpointPrefix = "endpoint-owner/"
 	shardPrefix    = "shard/"
-	shardHead      = "/head"
+	shardOwner     = "shard-owner/"
 )
 
 // RouterKey returns the store key that exists while the router holds its
@@ -22,11 +22,12 @@
 	return routerPrefix + id
 }
 
-// RecordKey returns the store key of the ownership of a name. The record of a
-// shard is its head, so that one compare-and-swap fences the old owner.
+// RecordKey returns the store key of the ownership of a name. The journal of a
+// shard has a head of its own, which holds the epoch as well and fences the
+// previous owner.
 func RecordKey(name string) string {
-	if strings.HasPrefix(name, shardPrefix) {
-		return name + shardHead
+	if number, ok := strings.CutPrefix(name, shardPrefix); ok {
+		return shardOwner + number
 	}
 	return endpointPrefix + name
 }
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -61,7 +61,6 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
-	Checksum string `json:"checksum"`
 	Usage    *struct {
 		PromptTokens int `json:"prompt_tokens"`
 		Details      struct {
@@ -126,9 +125,6 @@
 		s.end.PromptTokens = c.Usage.PromptTokens
 		s.end.CachedTokens = c.Usage.Details.CachedTokens
 	}
-	if c.Checksum != "" {
-		s.end.Checksum = c.Checksum
-	}
 	if len(c.Choices) == 0 {
 		return f, false, nil
 	}
--- a/limiter/ownership.go
+++ b/limiter/ownership.go
@@ -49,10 +49,11 @@
 	return o.standing
 }
 
-// Confirm records a handover message of the previous owner.
-func (o *Ownership) Confirm() {
+// Confirm records a handover message of the previous owner, which has stopped
+// admitting but still has foreign requests at the engine.
+func (o *Ownership) Confirm(foreign int) {
 	o.standing = StandingConfirmed
-	o.foreign = 0
+	o.foreign = foreign
 }
 
 // SetExpired records whether the lease has passed its expiry without evidence
--- a/peerclient/stream.go
+++ b/peerclient/stream.go
@@ -154,11 +154,10 @@
 		WriteRefusal(w.w, r, requestID)
 		return nil
 	}
-	wire := ToWire(r, requestID)
 	return w.Write(bergamotdale.Frame{
 		RequestID: requestID,
 		Kind:      bergamotdale.FrameRefusal,
 		Offset:    offset,
-		Refusal:   &wire,
+		Refusal:   r.Wire(requestID),
 	})
 }
--- /dev/null
+++ b/router/backend.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/responder"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// backend executes client requests on behalf of the responder.
+type backend struct {
+	router *Router
+}
+
+// config returns the configuration in force, or a refusal without one.
+func (b *backend) config() (*validator.Config, error) {
+	v := b.router.current()
+	if v == nil || v.config == nil {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeNoConfiguration, "no configuration is known yet").After(controlInterval)
+	}
+	return v.config, nil
+}
+
+// Authorize implements responder.Backend.
+func (b *backend) Authorize(workspace, apiKey string) (responder.Grant, error) {
+	config, err := b.config()
+	if err != nil {
+		return responder.Grant{}, err
+	}
+	w, err := findWorkspace(config, workspace, apiKey)
+	if err != nil {
+		return responder.Grant{Revision: config.Revision()}, err
+	}
+	return responder.Grant{
+		Workspace:            w.Name(),
+		DefaultPriorityClass: w.DefaultPriorityClass().Name(),
+		Revision:             config.Revision(),
+	}, nil
+}
+
+// findWorkspace returns the workspace of a request. A workspace with API keys
+// requires one of them.
+func findWorkspace(config *validator.Config, name, apiKey string) (*validator.Workspace, error) {
+	byKey, keyKnown := config.WorkspaceByAPIKey(apiKey)
+	if name == "" {
+		if keyKnown {
+			return byKey, nil
+		}
+		if apiKey == "" {
+			return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownWorkspace, "the request names no workspace and has no API key")
+		}
+		return nil, bergamotdale.Refuse(bergamotdale.CodeInvalidCredentials, "the API key belongs to no workspace")
+	}
+	w, ok := config.Workspace(name)
+	if !ok {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownWorkspace, "no workspace %q", name)
+	}
+	if w.HasAPIKeys() && (!keyKnown || byKey.Name() != name) {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeInvalidCredentials, "the API key does not belong to workspace %q", name)
+	}
+	return w, nil
+}
+
+// Models implements responder.Backend.
+func (b *backend) Models(workspace string) ([]responder.Model, error) {
+	config, err := b.config()
+	if err != nil {
+		return nil, err
+	}
+	w, ok := config.Workspace(workspace)
+	if !ok {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownWorkspace, "no workspace %q", workspace)
+	}
+	return lo.FilterMap(config.Models(), func(m *validator.Model, _ int) (responder.Model, bool) {
+		return responder.Model{ID: m.Name(), Object: "model", OwnedBy: "bergamotdale"}, w.Allows(m)
+	}), nil
+}
+
+// Complete implements responder.Backend.
+func (b *backend) Complete(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	config, err := b.config()
+	if err != nil {
+		return nil, err
+	}
+	model, ok := config.Model(c.Model)
+	if !ok {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownModel, "no model %q", c.Model)
+	}
+	if w, ok := config.Workspace(c.Workspace); ok && !w.Allows(model) {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeModelNotAllowed, "workspace %q may not use model %q", c.Workspace, c.Model)
+	}
+	if _, ok := config.PriorityClass(c.PriorityClass); !ok {
+		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownPriorityClass, "no priority class %q", c.PriorityClass)
+	}
+	if refusal := b.router.suspects.Refusal(c.Fingerprint); refusal != nil {
+		return nil, refusal
+	}
+	b.router.record("request-accepted", c.RequestID, c.Chat, c.Workspace, c.Revision, "model "+c.Model+", class "+c.PriorityClass)
+	return b.router.forward.Complete(ctx, c)
+}
+
+// CallService implements responder.Backend.
+func (b *backend) CallService(ctx context.Context, c bergamotdale.ServiceCall) (bergamotdale.ServiceResponse, error) {
+	config, err := b.config()
+	if err != nil {
+		return bergamotdale.ServiceResponse{}, err
+	}
+	service, ok := config.Service(c.Service)
+	if !ok {
+		return bergamotdale.ServiceResponse{}, bergamotdale.Refuse(bergamotdale.CodeUnknownService, "no service %q", c.Service)
+	}
+	call, ok := service.Call(c.Call)
+	if !ok {
+		return bergamotdale.ServiceResponse{}, bergamotdale.Refuse(bergamotdale.CodeUnknownService, "service %q has no call %q", c.Service, c.Call)
+	}
+	b.router.record("service-call-accepted", c.RequestID, "", c.Workspace, c.Revision, c.Service+"/"+c.Call)
+	if call.Idempotent() {
+		b.router.forward.Budget.First()
+		return b.router.callers.Call(ctx, c, true)
+	}
+	if c.Key == "" {
+		return bergamotdale.ServiceResponse{}, bergamotdale.Refuse(bergamotdale.CodeMissingKey,
+			"%s/%s may not be repeated and needs an Idempotency-Key header", c.Service, c.Call)
+	}
+	return b.router.forward.Commit(ctx, c, b.router.shards)
+}
+
+// Ready implements responder.Backend.
+func (b *backend) Ready() error {
+	if b.router.stopping.Load() {
+		return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping")
+	}
+	_, err := b.config()
+	return err
+}
+
+// record adds an event of a request to the timeline.
+func (r *Router) record(kind, requestID, chat, workspace string, revision int64, detail string) {
+	r.recorder.Record(bergamotdale.Event{
+		Time:      r.clock.Now(),
+		Kind:      kind,
+		RequestID: requestID,
+		Chat:      chat,
+		Workspace: workspace,
+		Detail:    detail,
+		Revision:  revision,
+	})
+}
--- /dev/null
+++ b/router/control.go
@@ -0,0 +1,287 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/aggregator"
+	"github.com/bergamotdale/bergamotdale/caller"
+	"github.com/bergamotdale/bergamotdale/dispatcher"
+	"github.com/bergamotdale/bergamotdale/elector"
+	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/scheduler"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+const (
+	// controlInterval is how often control looks around without an event: the
+	// draining marks and the state of the lease change with time alone.
+	controlInterval = 500 * time.Millisecond
+	// shardNamePrefix tells shards from engines among owned names.
+	shardNamePrefix = "shard/"
+	// queuedPerSlot bounds the waiting requests of a class per engine slot. The
+	// longest wait bounds the queue in time; this bounds its memory.
+	queuedPerSlot = 32
+	// targetTokenTime is the inter-token latency that engines should keep.
+	targetTokenTime = 55 * time.Millisecond
+)
+
+// control owns the control state: it computes the view and tells the other
+// parts what this router owns.
+func (r *Router) control(ctx context.Context) error {
+	members := r.gossiper.Subscribe()
+	owned := r.elector.Subscribe()
+	for {
+		config := r.follower.Changed()
+		r.refresh()
+		select {
+		case <-members:
+		case <-owned:
+		case <-config:
+		case <-r.vms.changed:
+		case <-r.clock.After(controlInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// refresh publishes a new view and applies it.
+func (r *Router) refresh() {
+	v := r.newView(r.clock.Now())
+	r.view.Store(v)
+	r.suspects.merge(v.members, r.clock.Now())
+	if v.config == nil {
+		return
+	}
+	r.suspects.configure(v.config.Limits())
+	r.elector.SetNames(v.names())
+	held := r.elector.Held()
+	r.dispatch.Apply(policyOf(v.config), r.assignments(v, held))
+	r.shards.Apply(shardEpochs(held))
+}
+
+// assignments returns the engines that this router owns.
+func (r *Router) assignments(v *view, held map[string]elector.Holding) []dispatcher.Assignment {
+	var assignments []dispatcher.Assignment
+	for name, h := range held {
+		engine, ok := v.config.Engine(name)
+		if !ok {
+			continue
+		}
+		assignments = append(assignments, dispatcher.Assignment{
+			Name:           name,
+			Address:        engine.Address(),
+			MaxConcurrency: engine.MaxConcurrency(),
+			Epoch:          h.Epoch,
+			Draining:       v.draining[name],
+			Confirmed:      h.Limit == elector.ModeFull,
+		})
+	}
+	return assignments
+}
+
+// shardEpochs returns the epochs of the shards that this router owns.
+func shardEpochs(held map[string]elector.Holding) map[string]int64 {
+	epochs := map[string]int64{}
+	for name, h := range held {
+		if strings.HasPrefix(name, shardNamePrefix) {
+			epochs[name] = h.Epoch
+		}
+	}
+	return epochs
+}
+
+// policyOf returns what admission needs of the configuration.
+func policyOf(c *validator.Config) *dispatcher.Policy {
+	p := &dispatcher.Policy{
+		ClassIndex: map[string]int{},
+		Bound:      placer.Bound{Multiple: c.Limits().LoadMultiple},
+		Weight: func(workspace string) float64 {
+			w, ok := c.Workspace(workspace)
+			if !ok {
+				return 1
+			}
+			return w.Weight()
+		},
+		TargetTokenTime: targetTokenTime,
+	}
+	classes := c.PriorityClasses()
+	for i, class := range classes {
+		p.ClassIndex[class.Name()] = i
+		p.Classes = append(p.Classes, scheduler.Class{
+			Name:      class.Name(),
+			MinShare:  class.MinShare(),
+			MaxWait:   class.MaxWait(),
+			MaxQueued: queuedPerSlot * maxConcurrency(c),
+			Preempts:  i == 0 && len(classes) > 1,
+		})
+	}
+	return p
+}
+
+// maxConcurrency returns the largest concurrency limit of any engine.
+func maxConcurrency(c *validator.Config) int {
+	return lo.Max(append(lo.Map(c.Engines(), func(e *validator.Engine, _ int) int { return e.MaxConcurrency() }), 1))
+}
+
+// mode returns how much this router may admit to the endpoint or shard.
+func (r *Router) mode(name string) elector.Mode {
+	mode, _ := r.elector.Admission(name)
+	return mode
+}
+
+// handoverState returns what the next owner of a name needs.
+func (r *Router) handoverState(name string) json.RawMessage {
+	state, ok := r.dispatch.Handover(name)
+	if !ok {
+		return nil
+	}
+	data, err := json.Marshal(state)
+	if err != nil {
+		r.Logger.Warn("handover without state", zap.String("name", name), zap.Error(err))
+		return nil
+	}
+	return data
+}
+
+// receiveState takes the state of a name that another router hands over.
+func (r *Router) receiveState(o bergamotdale.Ownership, data json.RawMessage) {
+	if len(data) == 0 {
+		return
+	}
+	var state dispatcher.Handover
+	if err := json.Unmarshal(data, &state); err != nil {
+		r.Logger.Warn("handover state not readable", zap.String("name", o.Name), zap.Error(err))
+		return
+	}
+	r.dispatch.Receive(o.Name, state)
+}
+
+// ownership is the elector as the dispatcher needs it.
+type ownership struct {
+	router *Router
+}
+
+// Admits implements dispatcher.Ownership.
+func (o *ownership) Admits(endpoint string) bool {
+	return o.router.mode(endpoint) != elector.ModeNone
+}
+
+// Expired implements dispatcher.Ownership.
+func (o *ownership) Expired() bool {
+	return elector.Admission(o.router.elector.Contact()) != elector.ModeFull
+}
+
+// Confirmed implements dispatcher.Ownership.
+func (o *ownership) Confirmed(endpoint string, epoch int64) {
+	o.router.elector.ConfirmFull(endpoint, epoch)
+}
+
+// loads is the aggregator as the dispatcher needs it.
+type loads struct {
+	router *Router
+}
+
+// group returns the model group of a model or adapter.
+func (l *loads) group(model string) string {
+	v := l.router.current()
+	if v.config == nil {
+		return model
+	}
+	if m, ok := v.config.Model(model); ok {
+		return m.Group()
+	}
+	return model
+}
+
+// Mean implements dispatcher.Loads.
+func (l *loads) Mean(model string) (placer.Mean, bool) {
+	mean, ok := l.router.loads.Mean(l.group(model))
+	if !ok {
+		return placer.Mean{}, false
+	}
+	return placer.Mean{Load: mean.Total, Engines: mean.Endpoints, Age: mean.Age}, true
+}
+
+// LeastLoaded implements dispatcher.Loads.
+func (l *loads) LeastLoaded(model, except string) string {
+	mean, ok := l.router.loads.Mean(l.group(model))
+	if !ok {
+		return ""
+	}
+	v := l.router.current()
+	for _, s := range mean.LeastLoaded {
+		if s.Endpoint != except && !v.draining[s.Endpoint] {
+			return s.Endpoint
+		}
+	}
+	return ""
+}
+
+// loadGroups returns the model groups of the owned engines with their loads.
+func (r *Router) loadGroups() []aggregator.Group {
+	v := r.current()
+	if v == nil || v.config == nil {
+		return nil
+	}
+	groups := map[string]*aggregator.Group{}
+	for _, load := range r.dispatch.Report() {
+		engine, ok := v.config.Engine(load.Endpoint)
+		if !ok {
+			continue
+		}
+		for _, model := range engine.Models() {
+			if model.Adapter() {
+				continue
+			}
+			g := groups[model.Group()]
+			if g == nil {
+				g = &aggregator.Group{Name: model.Group(), Size: len(model.Engines())}
+				groups[model.Group()] = g
+			}
+			g.Owned = append(g.Owned, aggregator.Summary{Endpoint: load.Endpoint, Epoch: load.Epoch, Load: load.Load})
+		}
+	}
+	return lo.Map(lo.Values(groups), func(g *aggregator.Group, _ int) aggregator.Group { return *g })
+}
+
+// serviceEndpoints returns the endpoints of a service that take new work.
+func (r *Router) serviceEndpoints(service string) []caller.Endpoint {
+	v := r.current()
+	if v.config == nil {
+		return nil
+	}
+	s, ok := v.config.Service(service)
+	if !ok {
+		return nil
+	}
+	var endpoints []caller.Endpoint
+	for _, e := range s.Endpoints() {
+		if !v.draining[e.Name()] {
+			endpoints = append(endpoints, caller.Endpoint{Name: e.Name(), Address: e.Address()})
+		}
+	}
+	return endpoints
+}
+
+// peerAddresses returns the addresses of the other live routers.
+func (r *Router) peerAddresses() []string {
+	var addresses []string
+	for _, m := range r.gossiper.View().Live() {
+		if m.ID != r.self.ID {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	// Before the first probe has been answered only the VM list is known.
+	return r.vms.routers(r.self.Address)
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/aggregator"
+	"github.com/bergamotdale/bergamotdale/elector"
+	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/forwarder"
+	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/peerclient"
+	"github.com/bergamotdale/bergamotdale/sharder"
+)
+
+// peerHandler serves the messages of other routers.
+func (r *Router) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	config := huma.DefaultConfig("bergamotdale peers", "v1")
+	config.CreateHooks = nil
+	config.DocsPath, config.OpenAPIPath, config.SchemasPath = "", "", ""
+	api := humago.New(mux, config)
+	limit := int64(r.Settings.Limits.PeerBody)
+	handle(api, limit, gossiper.PingPath, func(_ context.Context, m gossiper.PingRequest) (gossiper.PingResponse, error) {
+		return r.gossiper.HandlePing(m), nil
+	})
+	handle(api, limit, gossiper.IndirectPath, func(ctx context.Context, m gossiper.IndirectRequest) (gossiper.IndirectResponse, error) {
+		return r.gossiper.HandleIndirect(ctx, m), nil
+	})
+	handle(api, limit, elector.HandoverPath, func(ctx context.Context, m elector.HandoverRequest) (elector.HandoverResponse, error) {
+		return r.elector.HandleHandover(ctx, m), nil
+	})
+	handle(api, limit, elector.ClaimNoticePath, func(_ context.Context, m elector.ClaimNotice) (elector.ClaimNoticeResponse, error) {
+		return r.elector.HandleClaimNotice(m), nil
+	})
+	handle(api, limit, aggregator.LoadPath, func(_ context.Context, m aggregator.LoadRequest) (aggregator.LoadResponse, error) {
+		return r.loads.HandleLoad(m), nil
+	})
+	handle(api, limit, "config", r.follower.HandleConfig)
+	handle(api, limit, "status", func(ctx context.Context, m follower.StatusRequest) (follower.Status, error) {
+		return r.follower.HandleStatus(ctx, m)
+	})
+	handle(api, limit, "commit", r.handleCommit)
+	mux.HandleFunc("POST "+peerclient.BasePath+"forward", r.handleForward)
+	return mux
+}
+
+// peerInput and peerOutput carry a message and its response.
+type peerInput[T any] struct {
+	Body T
+}
+
+type peerOutput[T any] struct {
+	Body T
+}
+
+// handle registers the handler of a message between routers.
+func handle[Request, Response any](api huma.API, limit int64, path string, f func(context.Context, Request) (Response, error)) {
+	huma.Register(api, huma.Operation{
+		OperationID:  "peer-" + path,
+		Method:       http.MethodPost,
+		Path:         peerclient.BasePath + path,
+		MaxBodyBytes: limit,
+		// Routers of different versions ignore what they do not know.
+		SkipValidateBody: true,
+	}, func(ctx context.Context, in *peerInput[Request]) (*peerOutput[Response], error) {
+		response, err := f(ctx, in.Body)
+		if err != nil {
+			return nil, newPeerError(err)
+		}
+		return &peerOutput[Response]{Body: response}, nil
+	})
+}
+
+// peerError is a refusal as the body of a response to another router.
+type peerError struct {
+	bergamotdale.WireRefusal
+}
+
+func newPeerError(err error) *peerError {
+	return &peerError{*bergamotdale.AsRefusal(err).Wire("")}
+}
+
+// Error implements error.
+func (e *peerError) Error() string {
+	return e.Message
+}
+
+// GetStatus implements huma.StatusError.
+func (e *peerError) GetStatus() int {
+	return e.Code.HTTPStatus()
+}
+
+// handleCommit executes a call under a shard of this router.
+func (r *Router) handleCommit(ctx context.Context, c bergamotdale.ServiceCall) (forwarder.CommitResponse, error) {
+	response, err := r.shards.Execute(ctx, c)
+	if err != nil {
+		return forwarder.CommitResponse{}, r.redirect(err, sharder.NameOf(c))
+	}
+	return forwarder.CommitResponse{Response: response}, nil
+}
+
+// redirect adds the owner to a refusal with CodeNotOwner.
+func (r *Router) redirect(err error, name string) error {
+	refusal := bergamotdale.AsRefusal(err)
+	if refusal.Code != bergamotdale.CodeNotOwner {
+		return refusal
+	}
+	if o, ok := r.elector.Owner(name); ok && o.Owner != r.self.ID {
+		return refusal.To(bergamotdale.Redirect{Owner: o.Owner, Epoch: o.Epoch})
+	}
+	return refusal
+}
+
+// handleForward queues a completion of another router and streams its frames.
+// It bypasses huma: a stream of frames needs a flush after each line and the
+// refusal as the response itself as long as no frame was sent.
+func (r *Router) handleForward(w http.ResponseWriter, req *http.Request) {
+	var c bergamotdale.Completion
+	if err := decodeJSON(http.MaxBytesReader(w, req.Body, int64(r.Settings.Limits.PeerBody)), &c); err != nil {
+		peerclient.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "body is not a completion").WithCause(err), "")
+		return
+	}
+	stream, err := r.dispatch.Dispatch(req.Context(), c)
+	if err != nil {
+		peerclient.WriteRefusal(w, bergamotdale.AsRefusal(r.redirect(err, c.Endpoint)), c.StreamID())
+		return
+	}
+	defer stream.Close()
+	copyStream(peerclient.NewFrameWriter(w), stream, c)
+}
+
+// copyStream sends frames until the stream ends. The first heartbeat tells the
+// entry router that the request has been queued.
+func copyStream(w *peerclient.FrameWriter, stream bergamotdale.FrameStream, c bergamotdale.Completion) {
+	err := w.Write(bergamotdale.Frame{RequestID: c.StreamID(), Kind: bergamotdale.FrameHeartbeat, Offset: c.ResumeFrom})
+	for err == nil {
+		var frame bergamotdale.Frame
+		if frame, err = stream.Next(); err == nil {
+			err = w.Write(frame)
+		}
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,212 @@
+// Package router composes one router process from its parts: membership,
+// ownership, configuration, the request paths of entry and owner, and the HTTP
+// servers for clients, peers and operators.
+//
+// One goroutine, control, reacts to changes of membership, ownership and
+// configuration. It publishes an immutable view that the request paths read
+// through an atomic pointer.
+package router
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/aggregator"
+	"github.com/bergamotdale/bergamotdale/caller"
+	"github.com/bergamotdale/bergamotdale/dispatcher"
+	"github.com/bergamotdale/bergamotdale/elector"
+	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/forwarder"
+	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/retrier"
+	"github.com/bergamotdale/bergamotdale/sharder"
+	"github.com/bergamotdale/bergamotdale/streamer"
+)
+
+// loadPollInterval is the time between two load reports of an owned engine.
+const loadPollInterval = time.Second
+
+// Listeners are open sockets to serve on. A nil one is opened at the address
+// in the settings.
+type Listeners struct {
+	Clients   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+}
+
+// Router is one router process. Exported fields are set before Run.
+type Router struct {
+	Settings  *loader.Settings
+	Logger    *zap.Logger
+	Listeners Listeners
+	// Adapters provides the ports; NewAdapters returns those of a process.
+	Adapters do.Injector
+
+	clock     bergamotdale.Clock
+	peer      bergamotdale.Peer
+	recorder  bergamotdale.Recorder
+	self      bergamotdale.Member
+	vms       *vmWatcher
+	gossiper  *gossiper.Gossiper
+	elector   *elector.Elector
+	follower  *follower.Follower
+	loads     *aggregator.Aggregator
+	dispatch  *dispatcher.Dispatcher
+	shards    *sharder.Sharder
+	forward   *forwarder.Forwarder
+	callers   *caller.Caller
+	suspects  *suspects
+	telemetry *telemetry
+
+	view atomic.Pointer[view]
+	// stopping is set once a planned stop has begun.
+	stopping atomic.Bool
+}
+
+// Run serves until the context is done, and then stops gracefully: requests
+// that were accepted finish first.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.build(); err != nil {
+		return errors.Trace(err)
+	}
+	servers, err := r.servers()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var group run.Group
+	for _, part := range r.parts() {
+		partCtx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+	}
+	for _, s := range servers {
+		group.Add(s.run, s.interrupt)
+	}
+	stopCtx, stopNow := context.WithCancel(context.Background())
+	group.Add(func() error { return r.untilStopped(ctx, stopCtx, servers) }, func(error) { stopNow() })
+	r.Logger.Info("router started", zap.String("id", r.self.ID), zap.Int64("incarnation", r.self.Incarnation),
+		zap.String("failure-domain", r.self.FailureDomain))
+	err = group.Run()
+	if errors.Is(err, errStopped) {
+		r.Logger.Info("router stopped", zap.String("id", r.self.ID))
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+// parts returns the goroutines of the router beside its servers.
+func (r *Router) parts() []func(context.Context) error {
+	return []func(context.Context) error{
+		r.vms.run,
+		r.dispatch.Run,
+		r.shards.Run,
+		r.follower.Run,
+		r.gossiper.Run,
+		r.elector.Run,
+		r.loads.Run,
+		r.control,
+	}
+}
+
+// build creates the parts of the router.
+func (r *Router) build() error {
+	i := r.Adapters
+	r.clock = do.MustInvoke[bergamotdale.Clock](i)
+	r.peer = do.MustInvoke[bergamotdale.Peer](i)
+	r.recorder = do.MustInvoke[bergamotdale.Recorder](i)
+	store := do.MustInvoke[bergamotdale.Store](i)
+	r.self = bergamotdale.Member{
+		ID:            r.Settings.ID,
+		Address:       r.Settings.Listen.Peers,
+		FailureDomain: r.Settings.FailureDomain,
+		Incarnation:   r.clock.Now().UnixNano(),
+		State:         bergamotdale.MemberAlive,
+	}
+	telemetry, err := newTelemetry()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r.telemetry = telemetry
+	r.buildMembership(do.MustInvoke[bergamotdale.VMLister](i), store)
+	r.buildRequestPath(i, store)
+	return errors.Trace(r.observe())
+}
+
+// buildMembership creates what finds out about routers, owners and
+// configuration.
+func (r *Router) buildMembership(lister bergamotdale.VMLister, store bergamotdale.Store) {
+	r.vms = &vmWatcher{lister: lister, clock: r.clock, logger: r.Logger, interval: r.Settings.Periods.VMList,
+		seeds: r.Settings.Seeds, changed: make(chan struct{}, 1)}
+	config := gossiper.DefaultConfig()
+	config.ProbeInterval = r.Settings.Periods.Probe
+	r.gossiper = gossiper.New(config, r.self, r.clock)
+	r.gossiper.Peer = r.peer
+	r.gossiper.Lister = r.vms
+	r.gossiper.Logger = r.Logger.Named("gossiper")
+
+	r.elector = elector.New(r.self, store, r.peer, r.gossiper, r.clock)
+	r.elector.Logger = r.Logger.Named("elector")
+	r.elector.State = r.handoverState
+	r.elector.Receive = r.receiveState
+
+	r.follower = &follower.Follower{
+		Router: r.self.ID, Store: store, Peer: r.peer, Clock: r.clock, Recorder: r.recorder,
+		Logger: r.Logger.Named("follower"), Peers: r.peerAddresses,
+	}
+	r.loads = aggregator.New(r.self.ID, r.peer, r.gossiper, r.clock)
+	r.loads.Logger = r.Logger.Named("aggregator")
+	r.loads.Groups = r.loadGroups
+	r.suspects = newSuspects(r.self.ID, r.clock, r.gossiper)
+}
+
+// buildRequestPath creates the entry side and the owner side.
+func (r *Router) buildRequestPath(i do.Injector, store bergamotdale.Store) {
+	budget := retrier.NewBudget()
+	r.dispatch = &dispatcher.Dispatcher{
+		Engine:       do.MustInvoke[bergamotdale.Engine](i),
+		Clock:        r.clock,
+		Recorder:     r.recorder,
+		Logger:       r.Logger.Named("dispatcher"),
+		Ownership:    &ownership{r},
+		Loads:        &loads{r},
+		Quarantine:   r.suspects,
+		Replayer:     streamer.NewReplayer(r.clock, streamer.Retention, streamer.DefaultReplayBytes),
+		PollInterval: loadPollInterval,
+	}
+	r.callers = &caller.Caller{
+		Service:   do.MustInvoke[bergamotdale.Service](i),
+		Clock:     r.clock,
+		Recorder:  r.recorder,
+		Endpoints: r.serviceEndpoints,
+		Timeout:   caller.DefaultTimeout,
+		Budget:    budget,
+	}
+	r.shards = &sharder.Sharder{
+		Self:   r.self.ID,
+		Store:  store,
+		Clock:  r.clock,
+		Logger: r.Logger.Named("sharder"),
+		Call: func(ctx context.Context, c bergamotdale.ServiceCall) (bergamotdale.ServiceResponse, error) {
+			return r.callers.Call(ctx, c, false)
+		},
+		Held:     func(name string) bool { return r.mode(name) == elector.ModeFull },
+		Lifetime: func() time.Duration { return r.current().config.Limits().IdempotencyRecordLifetime },
+	}
+	r.forward = &forwarder.Forwarder{
+		Directory: &directory{r},
+		Local:     r.dispatch,
+		Peer:      r.peer,
+		Clock:     r.clock,
+		Recorder:  r.recorder,
+		Logger:    r.Logger.Named("forwarder"),
+		Budget:    budget,
+	}
+}
--- /dev/null
+++ b/router/suspects.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/quarantiner"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// crashPrefix starts the rumours that carry crash counts.
+const crashPrefix = "crash/"
+
+// suspects shares the crash counts of requests with the fleet.
+type suspects struct {
+	clock  bergamotdale.Clock
+	gossip *gossiper.Gossiper
+
+	mu       sync.Mutex
+	settings quarantiner.Settings
+	counts   *quarantiner.Quarantiner
+}
+
+func newSuspects(router string, clock bergamotdale.Clock, g *gossiper.Gossiper) *suspects {
+	settings := quarantiner.DefaultSettings(router)
+	return &suspects{clock: clock, gossip: g, settings: settings, counts: quarantiner.New(settings)}
+}
+
+// configure applies the limits in force. Counts are kept over a change.
+func (s *suspects) configure(limits validator.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.settings
+	changed.Limit = limits.QuarantineCount
+	changed.Duration = limits.QuarantineDuration
+	if changed == s.settings {
+		return
+	}
+	known := s.counts.Counts(s.clock.Now())
+	s.settings = changed
+	s.counts = quarantiner.New(changed)
+	s.counts.Merge(s.clock.Now(), known)
+}
+
+// merge takes in the counts of other routers.
+func (s *suspects) merge(v *gossiper.View, now time.Time) {
+	var counts []quarantiner.Count
+	for _, rumour := range v.Rumours(crashPrefix, now) {
+		var c quarantiner.Count
+		if json.Unmarshal([]byte(rumour.Value), &c) == nil {
+			counts = append(counts, c)
+		}
+	}
+	if len(counts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Merge(now, counts)
+}
+
+// Refusal implements dispatcher.Quarantine.
+func (s *suspects) Refusal(fingerprint string) *bergamotdale.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Refusal(s.clock.Now(), quarantiner.Fingerprint(fingerprint))
+}
+
+// MayRun implements dispatcher.Quarantine.
+func (s *suspects) MayRun(fingerprint string, running []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.MayRun(s.clock.Now(), quarantiner.Fingerprint(fingerprint), fingerprints(running))
+}
+
+// Crashed implements dispatcher.Quarantine.
+func (s *suspects) Crashed(_ string, running []string) {
+	s.mu.Lock()
+	changed := s.counts.Crash(s.clock.Now(), fingerprints(running))
+	s.mu.Unlock()
+	s.spread(changed)
+}
+
+// Completed implements dispatcher.Quarantine.
+func (s *suspects) Completed(fingerprint string) {
+	s.mu.Lock()
+	changed := s.counts.Completed(s.clock.Now(), quarantiner.Fingerprint(fingerprint))
+	s.mu.Unlock()
+	s.spread(changed)
+}
+
+// spread tells the fleet about counts of this router.
+func (s *suspects) spread(counts []quarantiner.Count) {
+	for _, c := range counts {
+		value, err := json.Marshal(c)
+		if err != nil {
+			continue
+		}
+		key := crashPrefix + string(c.Fingerprint) + "/" + c.Router
+		s.gossip.Spread(key, string(value), c.Last+int64(c.Crashes)+int64(c.Cleared), s.settings.Duration)
+	}
+}
+
+func fingerprints(names []string) []quarantiner.Fingerprint {
+	return lo.Map(names, func(n string, _ int) quarantiner.Fingerprint { return quarantiner.Fingerprint(n) })
+}
--- /dev/null
+++ b/router/vms.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/gossiper"
+)
+
+// vmWatcher reads the VM list and keeps its last known state through outages.
+// It serves the gossiper too, so that a router reads the list only once.
+type vmWatcher struct {
+	lister   bergamotdale.VMLister
+	clock    bergamotdale.Clock
+	logger   *zap.Logger
+	interval time.Duration
+	seeds    []string
+	changed  chan struct{}
+
+	mu  sync.Mutex
+	vms []bergamotdale.VM
+}
+
+// run reads the list until the context is done.
+func (w *vmWatcher) run(ctx context.Context) error {
+	w.read(ctx)
+	for bergamotdale.Wait(ctx, w.clock, w.interval) == nil {
+		w.read(ctx)
+	}
+	return nil
+}
+
+func (w *vmWatcher) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.interval)
+	defer cancel()
+	vms, err := w.lister.ListVMs(ctx)
+	if err != nil {
+		w.logger.Warn("VM list not read", zap.Error(err))
+		return
+	}
+	w.mu.Lock()
+	w.vms = vms
+	w.mu.Unlock()
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+// ListVMs implements bergamotdale.VMLister with the last known list and the
+// seeds of the settings.
+func (w *vmWatcher) ListVMs(context.Context) ([]bergamotdale.VM, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	vms := append([]bergamotdale.VM(nil), w.vms...)
+	for _, seed := range w.seeds {
+		vms = append(vms, bergamotdale.VM{
+			Name: seed, Address: seed, Role: gossiper.RouterRole, State: bergamotdale.VMLive,
+		})
+	}
+	return vms, nil
+}
+
+// draining returns the names of the VMs that are about to be stopped.
+func (w *vmWatcher) draining() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return lo.FilterMap(w.vms, func(vm bergamotdale.VM, _ int) (string, bool) {
+		return vm.Name, vm.State == bergamotdale.VMDraining
+	})
+}
+
+// routers returns the addresses of the other routers in the list.
+func (w *vmWatcher) routers(except string) []string {
+	vms, _ := w.ListVMs(context.Background())
+	return lo.Uniq(lo.FilterMap(vms, func(vm bergamotdale.VM, _ int) (string, bool) {
+		return vm.Address, vm.Role == gossiper.RouterRole && vm.Address != except
+	}))
+}
--- a/streamer/framer.go
+++ b/streamer/framer.go
@@ -1,8 +1,6 @@
 package streamer
 
 import (
-	"time"
-
 	"github.com/bergamotdale/bergamotdale"
 )
 
@@ -67,23 +65,6 @@
 		RequestID: requestID,
 		Kind:      bergamotdale.FrameRefusal,
 		Offset:    offset,
-		Refusal: &bergamotdale.WireRefusal{
-			Code:         r.Code,
-			Name:         r.Code.String(),
-			Message:      r.Message,
-			Outcome:      r.Outcome,
-			RequestID:    requestID,
-			RetryAfterMS: r.RetryAfter.Milliseconds(),
-		},
-	}
-}
-
-// FromWire returns the refusal that a refusal frame carries.
-func FromWire(w *bergamotdale.WireRefusal) *bergamotdale.Refusal {
-	return &bergamotdale.Refusal{
-		Code:       w.Code,
-		Message:    w.Message,
-		Outcome:    w.Outcome,
-		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
+		Refusal:   r.Wire(requestID),
 	}
 }
--- a/streamer/resumer.go
+++ b/streamer/resumer.go
@@ -79,7 +79,7 @@
 	for {
 		f, err := r.step()
 		if err == nil && f.Kind == bergamotdale.FrameRefusal {
-			err = FromWire(f.Refusal)
+			err = f.Refusal.Refusal()
 		}
 		if err == nil {
 			r.ended = f.Kind == bergamotdale.FrameEnd
--- a/validator/entity.go
+++ b/validator/entity.go
@@ -166,6 +166,11 @@
 	return w.models == nil || w.models[m.index/bits.UintSize]&(1<<(m.index%bits.UintSize)) != 0
 }
 
+// HasAPIKeys reports whether requests of the workspace need an API key.
+func (w *Workspace) HasAPIKeys() bool {
+	return len(w.spec.APIKeys) > 0
+}
+
 // AllowedModels returns the allowed names, or nil if every model is allowed.
 func (w *Workspace) AllowedModels() []string { return slices.Clone(w.spec.Models) }
 
