injector, requester, platformclient: deepen faults and unsent calls

Cause: an outage that only cuts connections leaves every write ambiguous, so the path of a call that never left couldn't be tried. A swap read its key back to learn the new version, which doubles the traffic of a commit of up to 64 KB and misses the version after another write.

Change: a total outage closes the listener and opens it again at the same address; a control listener and a duration end it. Cut, a one-shot fault, cuts running streams. requester repeats a request only if a pooled connection was found closed before a write to it started. A swap is a transaction of one operation, whose response carries the version. Renewal and revocation go on to the next address after a lost response, because repeating them changes nothing. The stream of engineclient puts the tokens that have already arrived into one frame.

Ruled out: a test of the sealed connection through net/http alone.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -42,6 +42,7 @@
 // parse returns the server that the command line describes.
 func parse() runner {
 	faults := &injector.Injector{OnCrash: func() { os.Exit(exitCrash) }}
+	crashMark := ""
 	platform := &platformserver.Server{Address: "127.0.0.1:8500", Faults: faults}
 	engine := &engineserver.Server{Address: "127.0.0.1:8600", Faults: faults}
 	service := &serviceserver.Server{Address: "127.0.0.1:8700", Faults: faults}
@@ -50,6 +51,8 @@
 	flaggy.SetDescription("Fakes of the external systems.")
 	flaggy.DefaultParser.ShowVersionWithVersionFlag = false
 	flaggy.DefaultParser.ShowCompletion = false
+	flaggy.String(&faults.ControlAddress, "c", "control", "host:port of a listener for faults and counters only")
+	flaggy.String(&crashMark, "", "crash-mark", "text of a request body that crashes the process")
 	servers := map[*flaggy.Subcommand]runner{
 		platformCommand(platform): platform,
 		engineCommand(engine):     engine,
@@ -59,6 +62,9 @@
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
+	if crashMark != "" {
+		faults.Add(injector.Fault{Kind: injector.Crash, Mark: crashMark})
+	}
 	for c, s := range servers {
 		if c.Used {
 			return s
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -39,7 +39,11 @@
 	// eventID is the id of the event being read; -1 if it has none.
 	eventID int
 	end     bergamotdale.Frame
-	done    bool
+	// held is a frame that was read while tokens were collected.
+	held *bergamotdale.Frame
+	done bool
+	// failure is the error of a stream that was cut.
+	failure error
 }
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, watchdog *time.Timer, silence time.Duration,
@@ -71,8 +75,50 @@
 	Error *bergamotdale.WireRefusal `json:"error"`
 }
 
-// Next implements bergamotdale.FrameStream.
+// Next implements bergamotdale.FrameStream. A data frame holds the tokens that
+// have already arrived.
 func (s *stream) Next() (bergamotdale.Frame, error) {
+	f, err := s.read()
+	if err != nil || f.Kind != bergamotdale.FrameData {
+		return f, err
+	}
+	for s.buffered() && s.collect(&f) {
+	}
+	return f, nil
+}
+
+// collect appends the tokens of the next frame to f. It returns false if the
+// next frame isn't data; the following call of Next returns that frame, or the
+// error that took its place.
+func (s *stream) collect(f *bergamotdale.Frame) bool {
+	next, err := s.read()
+	if err != nil {
+		return false
+	}
+	if next.Kind != bergamotdale.FrameData {
+		s.held = &next
+		return false
+	}
+	f.Tokens = append(f.Tokens, next.Tokens...)
+	return true
+}
+
+// buffered reports whether a whole event can be read without waiting.
+func (s *stream) buffered() bool {
+	b, err := s.lines.Peek(s.lines.Buffered())
+	return err == nil && bytes.Contains(b, []byte("\n\n"))
+}
+
+// read returns the next frame as the engine sent it.
+func (s *stream) read() (bergamotdale.Frame, error) {
+	if s.held != nil {
+		f := *s.held
+		s.held = nil
+		return f, nil
+	}
+	if s.failure != nil {
+		return bergamotdale.Frame{}, s.failure
+	}
 	if s.done {
 		return bergamotdale.Frame{}, io.EOF
 	}
@@ -167,7 +213,8 @@
 	}
 	_ = s.Close()
 	r := bergamotdale.Refuse(bergamotdale.CodeStreamLost, "engine stream cut after %d tokens", s.offset)
-	return r.WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
+	s.failure = r.WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
+	return s.failure
 }
 
 // Close implements bergamotdale.FrameStream.
--- a/engineserver/cache.go
+++ b/engineserver/cache.go
@@ -30,6 +30,8 @@
 // cached is a prefix in the cache and in its exported form.
 type cached struct {
 	Prefix string `json:"prefix"`
+	// Parent is the prefix without the last message.
+	Parent string `json:"parent"`
 	// Tokens is the length of the last message, Total that of the prefix.
 	Tokens int `json:"tokens"`
 	Total  int `json:"total"`
@@ -67,7 +69,7 @@
 	defer c.mu.Unlock()
 	for n := len(prefixes) - 1; n >= 0; n-- {
 		p := prefixes[n]
-		c.use(cached{p.hash, p.tokens, p.total})
+		c.use(cached{p.hash, p.parent, p.tokens, p.total})
 	}
 	c.evict()
 }
@@ -82,7 +84,7 @@
 	c.evict()
 }
 
-// export returns the cached prefixes, least recently used first, which is the
+// export returns all cached prefixes, least recently used first, which is the
 // order that restore needs.
 func (c *cache) export() []cached {
 	c.mu.Lock()
@@ -94,6 +96,18 @@
 	return all
 }
 
+// exportPrefix returns the prefix and those that it contains, longest first.
+func (c *cache) exportPrefix(hash string) []cached {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	chain := []cached{}
+	for e, ok := c.byHash[hash]; ok; e, ok = c.byHash[hash] {
+		chain = append(chain, e.Value.(cached))
+		hash = e.Value.(cached).Parent
+	}
+	return chain
+}
+
 func (c *cache) use(e cached) {
 	if at, ok := c.byHash[e.Prefix]; ok {
 		c.order.MoveToFront(at)
--- a/engineserver/complete.go
+++ b/engineserver/complete.go
@@ -180,6 +180,11 @@
 		if err := s.pause(r, time.Until(due), out); err != nil {
 			return err
 		}
+		// An engine that was frozen goes on at its rate and doesn't generate
+		// the missed tokens at once.
+		if time.Since(due) > s.Heartbeat {
+			due = time.Now()
+		}
 	}
 	return nil
 }
--- a/engineserver/control.go
+++ b/engineserver/control.go
@@ -152,7 +152,12 @@
 	injector.WriteJSON(w, http.StatusOK, s.cache.eventsAfter(after, time.Now()))
 }
 
-func (s *Server) exportCache(w http.ResponseWriter, _ *http.Request) {
+// exportCache serves the whole cache, or the prefix with the hash.
+func (s *Server) exportCache(w http.ResponseWriter, r *http.Request) {
+	if hash := r.URL.Query().Get("prefix"); hash != "" {
+		injector.WriteJSON(w, http.StatusOK, s.cache.exportPrefix(hash))
+		return
+	}
 	injector.WriteJSON(w, http.StatusOK, s.cache.export())
 }
 
--- a/engineserver/request.go
+++ b/engineserver/request.go
@@ -101,7 +101,8 @@
 
 // prefix is a sequence of messages from the start of a chat.
 type prefix struct {
-	hash string
+	// parent is the hash of the prefix without the last message.
+	parent, hash string
 	// tokens is the length of its last message, total that of all of them.
 	tokens, total int
 }
@@ -114,6 +115,7 @@
 	}
 	tokens := messageOverhead + len(m.Content)/charsPerToken
 	return append(to, prefix{
+		parent: last.hash,
 		hash:   fmt.Sprintf("%016x", xxhash.Sum64String(last.hash+"\x00"+m.Role+"\x00"+string(m.Content))),
 		tokens: tokens,
 		total:  last.total + tokens,
--- a/injector/fault.go
+++ b/injector/fault.go
@@ -24,6 +24,9 @@
 	// Silence makes every connection that is open when the fault is added
 	// silent for good, while new connections work. It isn't kept in the list.
 	Silence Kind = "silence"
+	// Cut closes the connections of the requests that run when the fault is
+	// added. It isn't kept in the list.
+	Cut Kind = "cut"
 	// Delay holds each matching request back before it is executed.
 	Delay Kind = "delay"
 	// LoseResponse executes the request and cuts the connection instead of
@@ -31,7 +34,9 @@
 	LoseResponse Kind = "lose-response"
 	// Refuse answers 503 with outcome not-run before the request is executed.
 	Refuse Kind = "refuse"
-	// Outage cuts running requests and every new one without executing it.
+	// Outage cuts running requests and each new one without executing it.
+	// Without match fields a server run by Serve also closes its listener, so
+	// that new connections are refused.
 	Outage Kind = "outage"
 	// Crash ends the process when a request whose body contains Mark starts
 	// to be executed.
@@ -39,7 +44,7 @@
 )
 
 var kinds = map[Kind]bool{
-	Freeze: true, Drop: true, Silence: true, Delay: true,
+	Freeze: true, Drop: true, Silence: true, Cut: true, Delay: true,
 	LoseResponse: true, Refuse: true, Outage: true, Crash: true,
 }
 
@@ -61,6 +66,14 @@
 	// Count is the number of requests that the fault still applies to; zero
 	// means that it applies until it is removed.
 	Count int `json:"count,omitempty"`
+	// DurationMS is the time in milliseconds after which the fault is removed;
+	// zero means that it stays.
+	DurationMS int64 `json:"duration-ms,omitempty"`
+}
+
+// total reports whether the fault is an outage of the whole server.
+func (f Fault) total() bool {
+	return f.Kind == Outage && f.Path == "" && f.Method == "" && f.Caller == "" && f.Count == 0
 }
 
 func (f Fault) matches(r *http.Request) bool {
--- a/injector/handler.go
+++ b/injector/handler.go
@@ -15,10 +15,17 @@
 const (
 	// ControlPath adds (POST), lists (GET) and removes (DELETE) faults.
 	ControlPath = "/faults"
-	// CountersPath is where a fake shows its counters; faults don't apply.
+	// CountersPath is where a fake shows its counters.
 	CountersPath = "/counters"
+	// SettingsPath is the prefix of paths that change settings of a fake.
+	SettingsPath = "/settings/"
 )
 
+// exempt reports whether faults don't apply to the path.
+func exempt(path string) bool {
+	return path == CountersPath || strings.HasPrefix(path, SettingsPath)
+}
+
 type connKey struct{}
 
 // Wrap returns a handler that applies the faults to the requests of next.
@@ -28,7 +35,7 @@
 			i.control(w, r)
 			return
 		}
-		if strings.HasPrefix(r.URL.Path, CountersPath) {
+		if exempt(r.URL.Path) {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -122,6 +129,10 @@
 			http.Error(w, "unknown kind "+strconv.Quote(string(f.Kind)), http.StatusBadRequest)
 			return
 		}
+		if f.total() && f.DurationMS == 0 && i.ControlAddress == "" {
+			http.Error(w, "an outage without a control address needs duration-ms", http.StatusBadRequest)
+			return
+		}
 		f.ID = i.Add(f)
 		WriteJSON(w, http.StatusOK, f)
 	case http.MethodDelete:
--- a/injector/injector.go
+++ b/injector/injector.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Injector holds the faults in force. Its zero value injects none.
@@ -13,6 +15,9 @@
 	// OnCrash replaces the exit of the process when a marked request starts.
 	// The command sets it to os.Exit; tests usually cancel the server.
 	OnCrash func()
+	// ControlAddress is the host:port of a listener of Serve that carries only
+	// control and counter paths and stays open in an outage. Empty means none.
+	ControlAddress string
 
 	mu     sync.Mutex
 	lastID int64
@@ -45,11 +50,18 @@
 	case Silence:
 		i.silenceAll()
 		return f.ID
-	case Outage:
+	case Cut:
+		i.cutAll()
+		return f.ID
+	}
+	if f.total() {
 		i.cutAll()
 	}
 	i.faults = append(i.faults, f)
 	i.notify()
+	if f.DurationMS > 0 {
+		time.AfterFunc(time.Duration(f.DurationMS)*time.Millisecond, func() { i.Remove(f.ID) })
+	}
 	return f.ID
 }
 
@@ -73,9 +85,10 @@
 // Gate blocks while the process is frozen. Servers call it before each step
 // of work that goes on outside a request handler.
 func (i *Injector) Gate(ctx context.Context) error {
+	frozen := func(f Fault) bool { return f.Kind == Freeze }
 	for {
-		changed, frozen := i.frozen()
-		if !frozen {
+		changed, yes := i.state(frozen)
+		if !yes {
 			return ctx.Err()
 		}
 		select {
@@ -134,7 +147,7 @@
 	}
 	i.faults[n].Count--
 	if i.faults[n].Count == 0 {
-		i.faults = append(i.faults[:n:n], i.faults[n+1:]...)
+		i.faults = slices.Delete(i.faults, n, n+1)
 		i.notify()
 	}
 }
@@ -142,28 +155,19 @@
 func (i *Injector) removeIf(drop func(Fault) bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	var kept []Fault
-	for _, f := range i.faults {
-		if !drop(f) {
-			kept = append(kept, f)
-		}
-	}
-	i.faults = kept
+	i.faults = slices.DeleteFunc(i.faults, drop)
 	i.notify()
 }
 
-func (i *Injector) frozen() (<-chan struct{}, bool) {
+// state reports whether a fault fulfils the condition. The channel is closed
+// with the next change of the list of faults.
+func (i *Injector) state(condition func(Fault) bool) (<-chan struct{}, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.changed == nil {
 		i.changed = make(chan struct{})
 	}
-	for _, f := range i.faults {
-		if f.Kind == Freeze {
-			return i.changed, true
-		}
-	}
-	return i.changed, false
+	return i.changed, slices.ContainsFunc(i.faults, condition)
 }
 
 func (i *Injector) notify() {
--- a/injector/serve.go
+++ b/injector/serve.go
@@ -8,11 +8,19 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bergamotdale/bergamotdale"
 )
 
-// shutdownTimeout bounds the time that open requests get to end once their
-// contexts are cancelled.
-const shutdownTimeout = 2 * time.Second
+const (
+	// shutdownTimeout bounds the time that open requests get to end once their
+	// contexts are cancelled.
+	shutdownTimeout = 2 * time.Second
+	// listenInterval is the time between attempts to listen again after an
+	// outage, in case another process uses the port meanwhile.
+	listenInterval = 20 * time.Millisecond
+)
 
 // Serve serves the handler with the faults applied until the context is done.
 // It listens on the address unless a listener is given.
@@ -25,9 +33,29 @@
 	}
 	base, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	s := i.server(base, i.Wrap(h))
+	group.Go(func() error { return i.accept(ctx, s, l) })
+	servers := []*http.Server{s}
+	if i.ControlAddress != "" {
+		control := &http.Server{Addr: i.ControlAddress, Handler: i.controlOnly(h)}
+		servers = append(servers, control)
+		group.Go(func() error { return closed(control.ListenAndServe()) })
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		i.stop()
+		cancel()
+		return shutdown(servers)
+	})
+	return errors.Trace(group.Wait())
+}
+
+// server returns a server whose connections are known to the injector.
+func (i *Injector) server(base context.Context, h http.Handler) *http.Server {
 	conns := &sync.Map{}
-	s := &http.Server{
-		Handler:     i.Wrap(h),
+	return &http.Server{
+		Handler:     h,
 		BaseContext: func(net.Listener) context.Context { return base },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			state := i.addConn()
@@ -43,23 +71,99 @@
 			}
 		},
 	}
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(l) }()
-	select {
-	case err := <-done:
-		return errors.Annotatef(err, "serve on %s", l.Addr())
-	case <-ctx.Done():
+}
+
+// controlOnly serves the paths to which faults don't apply.
+func (i *Injector) controlOnly(h http.Handler) http.Handler {
+	all := i.Wrap(h)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != ControlPath && !exempt(r.URL.Path) {
+			http.NotFound(w, r)
+			return
+		}
+		all.ServeHTTP(w, r)
+	})
+}
+
+// accept serves connections and closes the listener during a total outage.
+func (i *Injector) accept(ctx context.Context, s *http.Server, l net.Listener) error {
+	address := l.Addr().String()
+	for {
+		err := i.serveUntilOutage(ctx, s, l)
+		if err != nil || ctx.Err() != nil {
+			return errors.Annotatef(err, "serve on %s", address)
+		}
+		l = i.listenAgain(ctx, address)
+		if l == nil {
+			return nil
+		}
 	}
-	i.stop()
-	cancel()
-	stop, release := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer release()
-	if s.Shutdown(stop) != nil {
-		return errors.Trace(s.Close())
+}
+
+func (i *Injector) serveUntilOutage(ctx context.Context, s *http.Server, l net.Listener) error {
+	down, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if i.await(down, true) == nil {
+			l.Close()
+		}
+	}()
+	err := s.Serve(l)
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return closed(err)
+}
+
+// await waits until a total outage begins or has ended.
+func (i *Injector) await(ctx context.Context, begins bool) error {
+	for {
+		changed, down := i.state(Fault.total)
+		if down == begins {
+			return ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// listenAgain listens on the address once the outage has ended. It returns nil
+// if the context is done before.
+func (i *Injector) listenAgain(ctx context.Context, address string) net.Listener {
+	for i.await(ctx, false) == nil {
+		if l, err := net.Listen("tcp", address); err == nil {
+			return l
+		}
+		_ = bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, listenInterval)
 	}
 	return nil
 }
 
+func shutdown(servers []*http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if s.Shutdown(ctx) == nil {
+			continue
+		}
+		if err := s.Close(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// closed hides the error of a server that was shut down.
+func closed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
 // stop cuts the running requests, including those on silent connections.
 func (i *Injector) stop() {
 	i.mu.Lock()
--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -1,10 +1,10 @@
 // Package platformclient reaches the platform over HTTP: the key-value store
 // through the API of Consul as published, and the VM list.
 //
-// A write is sent at most once. If its response is lost the error is
-// ErrAmbiguous; if no byte of it was written, or the store refused it, the
-// error is ErrUnavailable. A call moves on to the next address only while it
-// is known that the store didn't execute it, except for reads.
+// If the response to a write is lost the error is ErrAmbiguous; if no byte of
+// it was written, or the store refused it, the error is ErrUnavailable. A call
+// moves on to the next address if the store didn't execute it or if a second
+// execution changes nothing.
 package platformclient
 
 import (
@@ -33,6 +33,12 @@
 	maxResponse = 256 << 20
 	// indexHeader carries the index to pass to the next blocking query.
 	indexHeader = "X-Consul-Index"
+	// maxErrorText is the part of an error response that is kept, in bytes.
+	maxErrorText = 200
+	// noLeader and invalidSession are parts of the text of error responses,
+	// which the API doesn't tell apart by status.
+	noLeader       = "No cluster leader"
+	invalidSession = "invalid session"
 )
 
 // Client implements bergamotdale.Store and bergamotdale.VMLister.
@@ -65,12 +71,20 @@
 	path   string
 	query  url.Values
 	body   []byte
-	// read marks a call that may be executed several times.
-	read bool
+	// repeatable marks a write that may be executed several times.
+	repeatable bool
 	// wait is the time that the server may block.
 	wait time.Duration
 }
 
+// mayRepeat reports whether another address may be tried after the error.
+func (k call) mayRepeat(err error) bool {
+	if errors.Is(err, bergamotdale.ErrAmbiguous) {
+		return k.repeatable
+	}
+	return errors.Is(err, bergamotdale.ErrUnavailable)
+}
+
 // response is a complete response of the API.
 type response struct {
 	status int
@@ -93,7 +107,7 @@
 			return r, nil
 		}
 		last = err
-		if ctx.Err() != nil || errors.Is(err, bergamotdale.ErrAmbiguous) {
+		if ctx.Err() != nil || !k.mayRepeat(err) {
 			break
 		}
 	}
@@ -124,27 +138,35 @@
 	return k.check(address, resp, body)
 }
 
-// check converts statuses by which the store refuses a call.
+// check converts statuses by which the store refuses a call. Not found and
+// conflict are left to the caller.
 func (k call) check(address string, resp *http.Response, body []byte) (response, error) {
-	text := strings.TrimSpace(string(body[:min(len(body), 200)]))
 	switch {
-	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
-		return response{}, errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: status %d: %s", address, resp.StatusCode, text)
-	case resp.StatusCode >= http.StatusInternalServerError && strings.Contains(text, "invalid session"):
-		return response{}, errors.Annotatef(bergamotdale.ErrNotFound, "store %s: %s", address, text)
+	case resp.StatusCode < http.StatusBadRequest,
+		resp.StatusCode == http.StatusNotFound,
+		resp.StatusCode == http.StatusConflict:
+		index, _ := strconv.ParseInt(resp.Header.Get(indexHeader), 10, 64)
+		return response{status: resp.StatusCode, index: index, body: body}, nil
+	}
+	text := strings.TrimSpace(string(body[:min(len(body), maxErrorText)]))
+	err := errors.Errorf("status %d: %s", resp.StatusCode, text)
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests,
+		resp.StatusCode == http.StatusServiceUnavailable,
+		strings.Contains(text, noLeader):
+		return response{}, errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: %v", address, err)
+	case strings.Contains(text, invalidSession):
+		return response{}, errors.Annotatef(bergamotdale.ErrNotFound, "store %s: %v", address, err)
 	case resp.StatusCode >= http.StatusInternalServerError:
-		return response{}, k.failure(address, errors.Errorf("status %d: %s", resp.StatusCode, text))
-	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode != http.StatusNotFound:
-		return response{}, errors.Errorf("store %s: status %d: %s", address, resp.StatusCode, text)
+		return response{}, k.failure(address, err)
 	}
-	index, _ := strconv.ParseInt(resp.Header.Get(indexHeader), 10, 64)
-	return response{status: resp.StatusCode, index: index, body: body}, nil
+	return response{}, errors.Annotatef(err, "store %s", address)
 }
 
 // failure converts a missing response.
 func (k call) failure(address string, err error) error {
 	unsent := &requester.Error{}
-	if k.read || (errors.As(err, &unsent) && !unsent.Written) {
+	if k.method == http.MethodGet || (errors.As(err, &unsent) && !unsent.Written) {
 		return errors.Annotatef(bergamotdale.ErrUnavailable, "store %s: %v", address, err)
 	}
 	return errors.Annotatef(bergamotdale.ErrAmbiguous, "store %s: %v", address, err)
@@ -163,7 +185,7 @@
 	if c.VMAddress != "" {
 		addresses = []string{c.VMAddress}
 	}
-	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/vms", read: true}, addresses)
+	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/vms"}, addresses)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/platformclient/store.go
+++ b/platformclient/store.go
@@ -30,7 +30,7 @@
 
 // Get implements bergamotdale.Store.
 func (c *Client) Get(ctx context.Context, key string) (bergamotdale.Entry, error) {
-	r, err := c.do(ctx, call{method: http.MethodGet, path: kvPath(key), read: true}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodGet, path: kvPath(key)}, c.Addresses)
 	if err != nil {
 		return bergamotdale.Entry{}, errors.Trace(err)
 	}
@@ -39,7 +39,7 @@
 
 // List implements bergamotdale.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]bergamotdale.Entry, error) {
-	k := call{method: http.MethodGet, path: kvPath(prefix), query: url.Values{"recurse": {""}}, read: true}
+	k := call{method: http.MethodGet, path: kvPath(prefix), query: url.Values{"recurse": {""}}}
 	r, err := c.do(ctx, k, c.Addresses)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -47,20 +47,38 @@
 	return decode(r)
 }
 
-// CompareAndSwap implements bergamotdale.Store. The API doesn't return the new
-// version, so the entry is read back.
+// txnOp is one operation of a transaction of the API.
+type txnOp struct {
+	KV txnKV
+}
+
+type txnKV struct {
+	Verb  string
+	Key   string
+	Value []byte
+	Index int64
+}
+
+// CompareAndSwap implements bergamotdale.Store. It uses a transaction of one
+// operation, because a plain write doesn't return the new version: reading it
+// back would double the traffic, and would miss it after another write.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
-	if err := c.write(ctx, http.MethodPut, key, value, "cas", strconv.FormatInt(version, 10)); err != nil {
+	body, err := json.Marshal([]txnOp{{txnKV{"cas", key, value, version}}})
+	if err != nil {
 		return bergamotdale.Entry{}, errors.Trace(err)
 	}
-	e, err := c.Get(ctx, key)
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: body}, c.Addresses)
 	if err != nil {
-		return bergamotdale.Entry{}, errors.Annotatef(bergamotdale.ErrAmbiguous, "version of %s after the write: %v", key, err)
+		return bergamotdale.Entry{}, errors.Trace(err)
+	}
+	if r.status == http.StatusConflict {
+		return bergamotdale.Entry{}, errors.Annotate(bergamotdale.ErrConflict, key)
 	}
-	if string(e.Value) != string(value) {
-		return bergamotdale.Entry{}, errors.Annotatef(bergamotdale.ErrAmbiguous, "%s was written again", key)
+	answer := struct{ Results []struct{ KV kvEntry } }{}
+	if err := json.Unmarshal(r.body, &answer); err != nil || len(answer.Results) != 1 {
+		return bergamotdale.Entry{}, errors.Annotatef(bergamotdale.ErrAmbiguous, "write of %s: unexpected response", key)
 	}
-	return e, nil
+	return bergamotdale.Entry{Key: key, Value: value, Version: answer.Results[0].KV.ModifyIndex}, nil
 }
 
 // Delete implements bergamotdale.Store.
@@ -83,13 +101,13 @@
 		if !awaited || !time.Now().Before(deadline) {
 			return e, errors.Trace(err)
 		}
-		index = r.index
+		index = max(r.index, 1)
 	}
 }
 
 // watch returns a blocking query. Index zero doesn't block.
 func watch(key string, index int64, wait time.Duration) call {
-	k := call{method: http.MethodGet, path: kvPath(key), query: url.Values{}, read: true}
+	k := call{method: http.MethodGet, path: kvPath(key), query: url.Values{}}
 	if index > 0 && wait > 0 {
 		k.query.Set("index", strconv.FormatInt(index, 10))
 		k.query.Set("wait", wait.Round(time.Millisecond).String())
@@ -117,7 +135,7 @@
 
 // RenewLease implements bergamotdale.Store.
 func (c *Client) RenewLease(ctx context.Context, id bergamotdale.LeaseID) error {
-	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/renew/" + string(id), read: true}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/renew/" + string(id), repeatable: true}, c.Addresses)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -129,7 +147,7 @@
 
 // RevokeLease implements bergamotdale.Store.
 func (c *Client) RevokeLease(ctx context.Context, id bergamotdale.LeaseID) error {
-	_, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + string(id)}, c.Addresses)
+	_, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + string(id), repeatable: true}, c.Addresses)
 	return errors.Trace(err)
 }
 
--- a/platformserver/counter.go
+++ b/platformserver/counter.go
@@ -88,7 +88,7 @@
 		return kindDelete
 	case q.Has("acquire"):
 		return kindAcquire
-	case q.Has("cas"):
+	case q.Has("cas"), r.URL.Path == "/v1/txn":
 		return kindCAS
 	case r.Method == http.MethodPut:
 		return kindWrite
--- a/platformserver/handler.go
+++ b/platformserver/handler.go
@@ -97,7 +97,8 @@
 	case q.Has("release"):
 		injector.WriteJSON(w, http.StatusOK, s.store.release(key, value, flags, q.Get("release")))
 	default:
-		injector.WriteJSON(w, http.StatusOK, s.store.put(key, value, flags, holds))
+		_, written := s.store.put(key, value, flags, holds)
+		injector.WriteJSON(w, http.StatusOK, written)
 	}
 }
 
@@ -116,19 +117,84 @@
 	injector.WriteJSON(w, http.StatusOK, s.store.remove(key, holds))
 }
 
+// txnOp is one operation of a transaction.
+type txnOp struct {
+	KV *struct {
+		Verb  string
+		Key   string
+		Value []byte
+		Flags uint64
+		Index int64
+	}
+}
+
+// txnResult is the response to a transaction. Entries in it have no value.
+type txnResult struct {
+	Results []txnEntry
+	Errors  []txnError
+}
+
+type txnEntry struct {
+	KV entry
+}
+
+type txnError struct {
+	OpIndex int
+	What    string
+}
+
+// txn serves a transaction of one write with the verb set or cas.
+func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
+	var ops []txnOp
+	// The value is base64 in the body, which lengthens it by a third.
+	if err := json.NewDecoder(io.LimitReader(r.Body, 2*maxValue)).Decode(&ops); err != nil {
+		http.Error(w, "Failed to parse body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(ops) != 1 || ops[0].KV == nil || (ops[0].KV.Verb != "cas" && ops[0].KV.Verb != "set") {
+		http.Error(w, "only one set or cas operation is supported", http.StatusBadRequest)
+		return
+	}
+	op := ops[0].KV
+	if len(op.Value) > maxValue {
+		http.Error(w, "Request body too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	holds := unconditional
+	if op.Verb == "cas" {
+		holds = versionIs(op.Index)
+	}
+	e, ok := s.store.put(op.Key, op.Value, op.Flags, holds)
+	if !ok {
+		stale := txnError{What: "failed to set key " + strconv.Quote(op.Key) + ", index is stale"}
+		injector.WriteJSON(w, http.StatusConflict, txnResult{Errors: []txnError{stale}})
+		return
+	}
+	e.Value = nil
+	injector.WriteJSON(w, http.StatusOK, txnResult{Results: []txnEntry{{e}}})
+}
+
+// unconditional is the precondition of a plain write.
+func unconditional(entry, bool) bool { return true }
+
+// versionIs is the precondition of a compare-and-swap.
+func versionIs(version int64) precondition {
+	return func(e entry, exists bool) bool {
+		return exists == (version != 0) && e.ModifyIndex == version
+	}
+}
+
 // casCondition parses the cas parameter. Zero means that the key must not
 // exist; without the parameter the write is unconditional.
 func casCondition(cas string) (precondition, error) {
 	if cas == "" {
-		return func(entry, bool) bool { return true }, nil
+		return unconditional, nil
 	}
 	version, err := strconv.ParseInt(cas, 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	return func(e entry, exists bool) bool {
-		return exists == (version != 0) && e.ModifyIndex == version
-	}, nil
+	return versionIs(version), nil
 }
 
 func (s *Server) createSession(w http.ResponseWriter, r *http.Request) {
--- a/platformserver/platformserver.go
+++ b/platformserver/platformserver.go
@@ -1,6 +1,6 @@
 // Package platformserver is a fake of the platform: the key-value store and
 // the VM list. The store speaks the HTTP API of Consul as published (KV with
-// cas and acquire, blocking queries, sessions with a TTL and delete
+// cas and acquire, transactions, blocking queries, sessions with a TTL and delete
 // behaviour), keeps everything in memory and counts each call.
 //
 // Where it is simpler than Consul: a session ends exactly when its TTL has
@@ -98,12 +98,13 @@
 	mux.HandleFunc("GET /v1/kv/{key...}", s.limited(s.reads, s.read))
 	mux.HandleFunc("PUT /v1/kv/{key...}", s.limited(s.writes, s.write))
 	mux.HandleFunc("DELETE /v1/kv/{key...}", s.limited(s.writes, s.delete))
+	mux.HandleFunc("PUT /v1/txn", s.limited(s.writes, s.txn))
 	mux.HandleFunc("PUT /v1/session/create", s.limited(s.writes, s.createSession))
 	mux.HandleFunc("PUT /v1/session/renew/{id}", s.limited(s.writes, s.renewSession))
 	mux.HandleFunc("PUT /v1/session/destroy/{id}", s.limited(s.writes, s.destroySession))
 	mux.HandleFunc("GET /v1/session/info/{id}", s.limited(s.reads, s.sessionInfo))
 	mux.HandleFunc("GET /v1/vms", s.listVMs)
-	mux.HandleFunc("PUT "+injector.CountersPath+"/vms", s.putVMs)
+	mux.HandleFunc("PUT "+injector.SettingsPath+"vms", s.putVMs)
 	return mux
 }
 
--- a/platformserver/store.go
+++ b/platformserver/store.go
@@ -90,16 +90,16 @@
 // precondition decides on a write from the current entry.
 type precondition func(e entry, exists bool) bool
 
-// put writes a value if the condition holds.
-func (s *store) put(key string, value []byte, flags uint64, holds precondition) bool {
+// put writes a value if the condition holds, and returns the new entry.
+func (s *store) put(key string, value []byte, flags uint64, holds precondition) (entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, exists := s.entries[key]
 	if !holds(e, exists) {
-		return false
+		return entry{}, false
 	}
 	s.write(e, key, value, flags)
-	return true
+	return s.entries[key], true
 }
 
 // write stores the next version of the entry.
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -4,7 +4,9 @@
 //
 // net/http by itself repeats some requests on a reused connection, among them
 // each one with an Idempotency-Key header. Client prevents that for every
-// method but GET by giving net/http a body that it can't rewind.
+// method but GET by giving net/http a body that it can't rewind. It repeats a
+// request itself only if a pooled connection turned out to be closed before a
+// byte was written to it.
 package requester
 
 import (
@@ -31,8 +33,15 @@
 	idleTimeout = 30 * time.Second
 	// maxIdlePerHost covers the concurrent requests to one endpoint.
 	maxIdlePerHost = 64
+	// maxAttempts bounds the pooled connections that a request may find
+	// closed.
+	maxAttempts = 3
 )
 
+// keepAlive finds a connection that a device on the path has forgotten after
+// 8 s. A blocked watch of the store has no heartbeat that would show it.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
 // Error is a request without a complete response.
 type Error struct {
 	// Written is false only if no byte of the request was or will be written.
@@ -63,16 +72,31 @@
 // arrived. Every error is an *Error.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	c.once.Do(c.init)
-	if req.Method != http.MethodGet {
-		req = singleUse(req)
+	for attempt := 1; ; attempt++ {
+		t := &tracker{}
+		resp, err := c.attempt(req, t)
+		if err == nil {
+			return resp, nil
+		}
+		written := t.seal()
+		stale := !written && t.reused && req.Context().Err() == nil
+		if !stale || attempt == maxAttempts {
+			return nil, &Error{Written: written, Err: err}
+		}
 	}
-	t := &tracker{}
+}
+
+// attempt sends the request once.
+func (c *Client) attempt(req *http.Request, t *tracker) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: t.gotConn})
-	resp, err := c.http.Do(req.WithContext(ctx))
+	if req.Method == http.MethodGet {
+		return c.http.Do(req.WithContext(ctx))
+	}
+	once, err := singleUse(req.WithContext(ctx))
 	if err != nil {
-		return nil, &Error{Written: t.seal(), Err: err}
+		return nil, errors.Trace(err)
 	}
-	return resp, nil
+	return c.http.Do(once)
 }
 
 // Close closes the idle connections.
@@ -82,7 +106,7 @@
 }
 
 func (c *Client) init() {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	c.http = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
@@ -103,16 +127,20 @@
 // singleUse returns the request with a body that net/http can't rewind. An
 // empty body is replaced too, because net/http takes a request without a body
 // as one that it can repeat.
-func singleUse(req *http.Request) *http.Request {
-	req = req.Clone(req.Context())
-	req.GetBody = nil
+func singleUse(req *http.Request) (*http.Request, error) {
+	once := req.Clone(req.Context())
+	once.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = io.NopCloser(eofReader{})
-		req.ContentLength = 0
-		return req
+		once.Body = io.NopCloser(eofReader{})
+		once.ContentLength = 0
+		return once, nil
+	}
+	if req.GetBody == nil {
+		return nil, errors.NotValidf("request body that can't be read again")
 	}
-	req.Body = struct{ io.ReadCloser }{req.Body}
-	return req
+	body, err := req.GetBody()
+	once.Body = body
+	return once, errors.Trace(err)
 }
 
 // eofReader is an empty body.
@@ -126,6 +154,8 @@
 type tracker struct {
 	mu    sync.Mutex
 	conns []*trackedConn
+	// reused is true if the last connection came from the pool.
+	reused bool
 }
 
 func (t *tracker) gotConn(info httptrace.GotConnInfo) {
@@ -136,6 +166,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conn.reset()
+	t.reused = info.Reused
 	t.conns = append(t.conns, conn)
 }
 
