benchmarker: discrete-event simulation of the decisions under load

Cause: M1 to M4 need a measuring tool before the decisions can be judged. Change: workload, engine model, placement baselines, FIFO baseline, report and CSV; cmd/bench.

--- /dev/null
+++ b/benchmarker/measures.go
@@ -0,0 +1,234 @@
+package benchmarker
+
+import (
+	"fmt"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Row is one figure of the report.
+type Row struct {
+	Measure string
+	Shape   string
+	Variant string
+	Metric  string
+	Value   float64
+	Unit    string
+	// Goal is empty for figures that only explain others.
+	Goal string
+	Met  bool
+}
+
+// Goals of the measures.
+const (
+	goalReuse      = 0.95
+	goalUrgent     = 1.10
+	goalSmall      = 1.20
+	goalJain       = 0.95
+	floodLoad      = 4.0
+	heavyFactor    = 10.0
+	percentile     = 95.0
+	smallCount     = 9
+	heavyCount     = 3
+	warmup         = 2 * time.Minute
+	floodSettling  = 10 * time.Second
+	measuredReuse  = 15 * time.Minute
+	measuredFlood  = 4 * time.Minute
+	engineChurn    = time.Minute
+	routerChurn    = 3 * time.Minute
+	smallTotalLoad = 0.3
+)
+
+// Options select what to measure.
+type Options struct {
+	Seed uint64
+	// Scale shortens the measured time; 1 is the full length.
+	Scale float64
+}
+
+func (o Options) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * o.Scale)
+}
+
+// Measure runs all measures for the shapes.
+func Measure(o Options, shapes ...Shape) []Row {
+	var rows []Row
+	for _, s := range shapes {
+		rows = append(rows, CacheReuse(o, s)...)
+	}
+	for _, s := range shapes {
+		rows = append(rows, UrgentLatency(o, s)...)
+		rows = append(rows, MinimumShares(o, s)...)
+		rows = append(rows, Isolation(o, s)...)
+	}
+	return rows
+}
+
+// normalLoad is an ordinary busy hour.
+var normalLoad = [classCount]float64{0.15, 0.25, 0.2}
+
+// reuseScenario is the workload of M1: returning chats, skewed workspaces,
+// engines that join and leave and routers that crash.
+func reuseScenario(o Options, shape Shape, p Placement) Scenario {
+	return Scenario{
+		Shape: shape, Seed: o.Seed, Placement: p, Load: normalLoad,
+		From: warmup, To: warmup + o.scaled(measuredReuse),
+		EngineChurn: engineChurn, RouterChurn: routerChurn,
+	}
+}
+
+// CacheReuse measures M1.
+func CacheReuse(o Options, shape Shape) []Row {
+	oracle := Run(reuseScenario(o, shape, PlacementOracle))
+	rows := []Row{{"M1", shape.Name, string(PlacementOracle), "cache reuse", oracle.Reuse(), "", "", true}}
+	for _, p := range placements() {
+		r := Run(reuseScenario(o, shape, p))
+		relative := r.Reuse() / oracle.Reuse()
+		goal := ""
+		if p == PlacementRouter {
+			goal = fmt.Sprintf(">= %.2f", goalReuse)
+		}
+		rows = append(rows,
+			Row{"M1", shape.Name, string(p), "reuse relative to the oracle", relative, "", goal, relative >= goalReuse},
+			Row{"M1", shape.Name, string(p), "admissions above the bound", float64(r.Exceeded), "", boundGoal(p), r.Exceeded == 0},
+			Row{"M1", shape.Name, string(p), "peak load relative to the bound", r.Peak, "", boundGoal(p), r.Peak <= 1},
+			Row{"M1", shape.Name, string(p), "peak load relative to the mean", r.PeakMultiple, "", "", true},
+			Row{"M1", shape.Name, string(p), "urgent p95", p95(r.Latency[urgent]), "ms", "", true},
+			Row{"M1", shape.Name, string(p), "redirects per admission", float64(r.Redirects) / float64(max(r.Admissions, 1)), "", "", true},
+		)
+	}
+	return rows
+}
+
+func placements() []Placement {
+	return []Placement{PlacementRouter, PlacementPlain, PlacementRandom, PlacementLeast, PlacementHash}
+}
+
+// boundGoal is set for the policy that has to keep the bound.
+func boundGoal(p Placement) string {
+	if p == PlacementRouter {
+		return "load <= bound"
+	}
+	return ""
+}
+
+// floodScenario is a flood of one class over a load.
+func floodScenario(o Options, shape Shape, class int, load [classCount]float64, flood, fifo bool) Scenario {
+	sc := Scenario{
+		Shape: shape, Seed: o.Seed, Placement: PlacementRouter, FIFO: fifo, Load: load,
+		From: warmup + floodSettling, To: warmup + floodSettling + o.scaled(measuredFlood),
+	}
+	if flood {
+		sc.Flood = &Flood{Class: class, Load: floodLoad, From: warmup, To: sc.To}
+	}
+	return sc
+}
+
+// UrgentLatency measures M2.
+func UrgentLatency(o Options, shape Shape) []Row {
+	quiet := Run(floodScenario(o, shape, batch, normalLoad, false, false))
+	rows := []Row{
+		{"M2", shape.Name, "no flood", "urgent p95", p95(quiet.Latency[urgent]), "ms", "", true},
+		{"M2", shape.Name, "no flood", "urgent first token p95", p95(quiet.FirstToken[urgent]), "ms", "", true},
+	}
+	for _, fifo := range []bool{false, true} {
+		r := Run(floodScenario(o, shape, batch, normalLoad, true, fifo))
+		ratio := p95(r.Latency[urgent]) / p95(quiet.Latency[urgent])
+		goal := ""
+		if !fifo {
+			goal = fmt.Sprintf("<= %.2f", goalUrgent)
+		}
+		rows = append(rows,
+			Row{"M2", shape.Name, queueName(fifo), "urgent p95 relative to no flood", ratio, "", goal, ratio <= goalUrgent},
+			Row{"M2", shape.Name, queueName(fifo), "urgent p95", p95(r.Latency[urgent]), "ms", "", true},
+			Row{"M2", shape.Name, queueName(fifo), "urgent first token p95", p95(r.FirstToken[urgent]), "ms", "", true},
+			Row{"M2", shape.Name, queueName(fifo), "urgent requests lost", float64(r.Lost[urgent]), "", "", true},
+			Row{"M2", shape.Name, queueName(fifo), "preemptions", float64(r.Preemptions), "", "", true},
+		)
+	}
+	return rows
+}
+
+func queueName(fifo bool) string {
+	if fifo {
+		return "FIFO"
+	}
+	return "scheduler"
+}
+
+// shareLoad has enough demand in every class to use its minimum share.
+var shareLoad = [classCount]float64{0.3, 0.45, 0.3}
+
+// MinimumShares measures M3 in floods of the lowest and the most urgent class.
+func MinimumShares(o Options, shape Shape) []Row {
+	var rows []Row
+	for _, flooded := range []int{batch, urgent} {
+		for _, fifo := range []bool{false, true} {
+			r := Run(floodScenario(o, shape, flooded, shareLoad, true, fifo))
+			variant := fmt.Sprintf("%s, %s flood", queueName(fifo), classNames[flooded])
+			for class, c := range classes() {
+				goal := ""
+				if !fifo {
+					goal = fmt.Sprintf(">= %.2f", c.MinShare)
+				}
+				share := r.Share(shape, class)
+				rows = append(rows, Row{"M3", shape.Name, variant, "share of " + c.Name, share, "", goal, share >= c.MinShare})
+			}
+			goal := ""
+			if !fifo {
+				goal = "== 0"
+			}
+			rows = append(rows, Row{"M3", shape.Name, variant, "started but not finished", float64(r.Unfinished), "", goal, r.Unfinished == 0})
+		}
+	}
+	return rows
+}
+
+// isolationScenario has small workspaces with moderate demand and, if heavy is
+// set, a few workspaces that each demand heavyFactor times their share.
+func isolationScenario(o Options, shape Shape, heavy, fifo bool) Scenario {
+	sc := Scenario{
+		Shape: shape, Seed: o.Seed, Placement: PlacementRouter, FIFO: fifo,
+		From: warmup + floodSettling, To: warmup + floodSettling + o.scaled(measuredFlood),
+	}
+	add := func(kind string, count int, total float64) {
+		names, weights := even(kind, count)
+		for class, part := range normalLoad {
+			load := total * part / (normalLoad[urgent] + normalLoad[standard] + normalLoad[batch])
+			sc.streams = append(sc.streams, shape.stream(kind+"-"+classNames[class], class, load, names, weights, 0, sc.To))
+		}
+	}
+	add(smallPrefix, smallCount, smallTotalLoad)
+	if heavy {
+		add("heavy", heavyCount, heavyFactor*heavyCount/(heavyCount+smallCount))
+	}
+	return sc
+}
+
+// Isolation measures M4.
+func Isolation(o Options, shape Shape) []Row {
+	alone := Run(isolationScenario(o, shape, false, false))
+	rows := []Row{{"M4", shape.Name, "alone", "small p95", p95(alone.Small), "ms", "", true}}
+	for _, fifo := range []bool{false, true} {
+		r := Run(isolationScenario(o, shape, true, fifo))
+		ratio := p95(r.Small) / p95(alone.Small)
+		jain := r.Jain()
+		goalLatency, goalFair := "", ""
+		if !fifo {
+			goalLatency = fmt.Sprintf("<= %.2f", goalSmall)
+			goalFair = fmt.Sprintf(">= %.2f", goalJain)
+		}
+		rows = append(rows,
+			Row{"M4", shape.Name, queueName(fifo), "small p95 relative to alone", ratio, "", goalLatency, ratio <= goalSmall},
+			Row{"M4", shape.Name, queueName(fifo), "small p95", p95(r.Small), "ms", "", true},
+			Row{"M4", shape.Name, queueName(fifo), "Jain's index", jain, "", goalFair, jain >= goalJain},
+		)
+	}
+	return rows
+}
+
+// p95 returns the 95th percentile in milliseconds.
+func p95(h *hdr.Histogram) float64 {
+	return float64(h.ValueAtPercentile(percentile))
+}
--- /dev/null
+++ b/benchmarker/placement.go
@@ -0,0 +1,131 @@
+package benchmarker
+
+import (
+	"github.com/bergamotdale/bergamotdale/hasher"
+	"github.com/bergamotdale/bergamotdale/placer"
+)
+
+// Placement names a placement policy.
+type Placement string
+
+// The policies. PlacementRouter is the one of the design; the others are
+// baselines.
+const (
+	PlacementRouter Placement = "router"
+	// PlacementPlain is the router's policy without overrides.
+	PlacementPlain Placement = "bounded, no overrides"
+	// PlacementRandom, PlacementLeast and PlacementHash know no bound.
+	PlacementRandom Placement = "random"
+	PlacementLeast  Placement = "least load"
+	PlacementHash   Placement = "consistent hashing"
+	// PlacementOracle knows every cache and every load, and keeps the bound.
+	PlacementOracle Placement = "oracle"
+)
+
+// place returns the endpoint of a request, or nil if all are full.
+func (s *simulation) place(r *request) *engine {
+	switch s.Placement {
+	case PlacementRandom:
+		return s.random()
+	case PlacementLeast:
+		return s.best(func(e *engine) int { return -e.load() }, false)
+	case PlacementHash:
+		return s.hashed(r)
+	case PlacementOracle:
+		return s.best(func(e *engine) int { return e.cache.tokens(r.chat.name)<<20 - e.load() }, true)
+	case PlacementPlain:
+		return s.routed(r, false)
+	default:
+		return s.routed(r, true)
+	}
+}
+
+// routed is the placement of the design (D4).
+func (s *simulation) routed(r *request, overrides bool) *engine {
+	s.order = s.group.Order(s.order[:0], placer.Request{Chat: r.chat.name, Now: s.clock()})
+	if len(s.order) == 0 {
+		return nil
+	}
+	first := s.engines[s.order[0]]
+	if overrides {
+		if name, ok := first.overrides.Get(r.chat.name); ok {
+			if e := s.byName[name]; !e.gone && !e.draining && e.admits() {
+				return e
+			}
+		}
+	}
+	for hop, i := range s.order {
+		e := s.engines[i]
+		if !e.admits() {
+			continue
+		}
+		s.result.Redirects += hop
+		if hop > 0 {
+			first.overrides.Put(r.chat.name, e.name)
+		} else {
+			first.overrides.Delete(r.chat.name)
+		}
+		return e
+	}
+	return nil
+}
+
+// admits is the owner's check of the load bound.
+func (e *engine) admits() bool {
+	return e.simulation.bound.Admits(e.mean(), e.load())
+}
+
+// trueMean is the present state of the group, which no router knows.
+func (s *simulation) trueMean() placer.Mean {
+	var m placer.Mean
+	for _, e := range s.engines {
+		m.Load += e.load()
+		if !e.draining && !e.gone {
+			m.Engines++
+		}
+	}
+	return m
+}
+
+func (s *simulation) random() *engine {
+	live := s.live()
+	return live[s.rng.IntN(len(live))]
+}
+
+func (s *simulation) live() []*engine {
+	var live []*engine
+	for _, e := range s.engines {
+		if !e.draining && !e.gone {
+			live = append(live, e)
+		}
+	}
+	return live
+}
+
+// best returns the live engine with the highest score.
+func (s *simulation) best(score func(*engine) int, bounded bool) *engine {
+	mean := s.trueMean()
+	var best *engine
+	for _, e := range s.live() {
+		if bounded && !s.bound.Admits(mean, e.load()) {
+			continue
+		}
+		if best == nil || score(e) > score(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// hashed is plain consistent hashing.
+func (s *simulation) hashed(r *request) *engine {
+	key := hasher.Hash(r.chat.name)
+	var best *engine
+	var highest uint64
+	for _, e := range s.live() {
+		if w := hasher.Weight(key, hasher.Hash(e.name)); best == nil || w > highest {
+			best, highest = e, w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,35 @@
+// Command bench measures the decisions under load and prints the four measures
+// of the design page against their goals and baselines.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bergamotdale/bergamotdale/benchmarker"
+)
+
+func main() {
+	var seed uint64 = 1
+	scale := 1.0
+	directory := ""
+	flaggy.SetName("bench")
+	flaggy.SetDescription("measures cache reuse, urgent latency, minimum shares and isolation")
+	flaggy.UInt64(&seed, "s", "seed", "seed of the workload")
+	flaggy.Float64(&scale, "", "scale", "length of the measured time relative to the full run")
+	flaggy.String(&directory, "o", "output", "directory for measures.csv")
+	flaggy.Parse()
+
+	rows := benchmarker.Measure(benchmarker.Options{Seed: seed, Scale: scale},
+		benchmarker.Hanbit())
+	err := benchmarker.Print(os.Stdout, seed, rows)
+	if err == nil && directory != "" {
+		err = benchmarker.WriteCSV(directory, seed, rows)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
