--- /dev/null
+++ b/benchmarker/placement.go
@@ -0,0 +1,164 @@
+package benchmarker
+
+import (
+	"github.com/bergamotdale/bergamotdale/hasher"
+	"github.com/bergamotdale/bergamotdale/placer"
+)
+
+// Placement names a placement policy.
+type Placement string
+
+// The policies. PlacementRouter is the one of the design; the others are
+// baselines.
+const (
+	PlacementRouter Placement = "router"
+	// PlacementOrder takes the first endpoint in rendezvous order that is under
+	// its capacity, PlacementOverride adds placement overrides.
+	PlacementOrder    Placement = "bounded order"
+	PlacementOverride Placement = "bounded order, overrides"
+	// PlacementRandom, PlacementLeast and PlacementHash know no bound.
+	PlacementRandom Placement = "random"
+	PlacementLeast  Placement = "least load"
+	PlacementHash   Placement = "consistent hashing"
+	// PlacementOracle knows every cache and every load, and keeps the bound.
+	PlacementOracle Placement = "oracle"
+)
+
+// place returns the endpoint of a request, or nil if all are full.
+func (s *simulation) place(r *request) *engine {
+	switch s.Placement {
+	case PlacementRandom:
+		return s.random()
+	case PlacementLeast:
+		return s.best(func(e *engine) int { return -e.load() }, false)
+	case PlacementHash:
+		return s.hashed(r)
+	case PlacementOracle:
+		return s.best(func(e *engine) int { return e.cache.tokens(r.chat.name)<<20 - e.load() }, true)
+	case PlacementOrder, PlacementOverride:
+		return s.ordered(r)
+	default:
+		return s.planned(r)
+	}
+}
+
+// planned follows the plan of the owner of the first endpoint.
+func (s *simulation) planned(r *request) *engine {
+	chat := r.chat.name
+	question := placer.Question{Request: placer.Request{Chat: chat, Now: s.clock(), Limit: 1}}
+	s.order = s.group.Order(s.order[:0], question.Request)
+	if len(s.order) == 0 {
+		return nil
+	}
+	home := s.engines[s.order[0]]
+	question.Returning = r.prefix > 0
+	question.Override, _ = home.overrides.Get(chat)
+	question.Resident = home.residents.Contains(chat)
+	question.Changed = epoch.Add(s.changed)
+	question.Loads = home.loads
+	s.plan = s.group.Plan(s.plan[:0], question)
+	for _, step := range s.plan {
+		e := s.engines[step.Endpoint]
+		if e != home {
+			s.result.Redirects++
+		}
+		load := e.load()
+		capacity := s.bound.StepCapacity(step, e.mean(), home.loads.Mean(s.clock()))
+		if e.gone || !step.Met(e.residents.Contains(chat), load, capacity) {
+			home.loads.Set(e.name, load)
+			continue
+		}
+		home.loads.Set(e.name, load+1)
+		if e == home {
+			home.overrides.Delete(chat)
+		} else {
+			home.overrides.Put(chat, e.name)
+		}
+		return e
+	}
+	return nil
+}
+
+// ordered tries the endpoints in rendezvous order.
+func (s *simulation) ordered(r *request) *engine {
+	s.order = s.group.Order(s.order[:0], placer.Request{Chat: r.chat.name, Now: s.clock()})
+	if len(s.order) == 0 {
+		return nil
+	}
+	home := s.engines[s.order[0]]
+	if name, ok := home.overrides.Get(r.chat.name); ok && s.Placement == PlacementOverride {
+		if e := s.byName[name]; !e.gone && !e.draining && e.admits() {
+			return e
+		}
+	}
+	for hop, i := range s.order {
+		e := s.engines[i]
+		if e.gone || !e.admits() {
+			continue
+		}
+		s.result.Redirects += hop
+		home.overrides.Put(r.chat.name, e.name)
+		return e
+	}
+	return nil
+}
+
+// admits is the owner's check of the load bound.
+func (e *engine) admits() bool {
+	return e.simulation.bound.Admits(e.mean(), e.load())
+}
+
+// trueMean is the present state of the group, which no router knows.
+func (s *simulation) trueMean() placer.Mean {
+	var m placer.Mean
+	for _, e := range s.engines {
+		m.Load += e.load()
+		if !e.draining && !e.gone {
+			m.Engines++
+		}
+	}
+	return m
+}
+
+func (s *simulation) random() *engine {
+	live := s.live()
+	return live[s.rng.IntN(len(live))]
+}
+
+func (s *simulation) live() []*engine {
+	var live []*engine
+	for _, e := range s.engines {
+		if !e.draining && !e.gone {
+			live = append(live, e)
+		}
+	}
+	return live
+}
+
+// best returns the live engine with the highest score.
+func (s *simulation) best(score func(*engine) int, bounded bool) *engine {
+	mean := s.trueMean()
+	var best *engine
+	for _, e := range s.live() {
+		if bounded && !s.bound.Admits(mean, e.load()) {
+			continue
+		}
+		if best == nil || score(e) > score(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// hashed is plain consistent hashing.
+func (s *simulation) hashed(r *request) *engine {
+	key := hasher.Hash(r.chat.name)
+	var best *engine
+	var highest uint64
+	for _, e := range s.live() {
+		if w := hasher.Weight(key, hasher.Hash(e.name)); best == nil || w > highest {
+			best, highest = e, w
+		}
+	}
+	return best
+}
