router: readiness waits for ownership, planned stop ends

Cause: Gossiper.Leave waited for the goroutines of Run, so a planned stop hung. A router was ready before anything had an owner, and claimed names before it had met its peers, only to hand them over. Ruled out: readiness by a fixed delay. Change: Leave waits for its own messages; claims wait for the first peer; readiness waits until the router knows the owners of what it should own.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -86,10 +86,12 @@
 func (g *Gossiper) Leave(ctx context.Context) {
 	var sends []Send
 	g.change(func(m *Machine, now time.Time) { sends = m.Leave(now) })
+	// The sends of Run go on until its context is done, which may be later.
+	var last sync.WaitGroup
 	for _, s := range sends {
-		g.sends.Go(func() { g.exchange(ctx, s) })
+		last.Go(func() { g.exchange(ctx, s) })
 	}
-	g.sends.Wait()
+	last.Wait()
 }
 
 // SetStoreContact records a successful call of the store by this router.
--- a/router/backend.go
+++ b/router/backend.go
@@ -133,8 +133,13 @@
 	if b.router.stopping.Load() {
 		return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping")
 	}
-	_, err := b.config()
-	return err
+	if _, err := b.config(); err != nil {
+		return err
+	}
+	if !b.router.serving.Load() {
+		return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "ownership is not known yet")
+	}
+	return nil
 }
 
 // record adds an event of a request to the timeline.
--- a/router/control.go
+++ b/router/control.go
@@ -23,6 +23,12 @@
 	// controlInterval is how often control looks around without an event: the
 	// draining marks and the state of the lease change with time alone.
 	controlInterval = 500 * time.Millisecond
+	// joinTimeout is how long a router without peers waits before it claims. It
+	// covers a few rounds of probes to the seeds.
+	joinTimeout = 3 * time.Second
+	// settleTimeout is when a router serves even though it could not claim, for
+	// example because the store is down.
+	settleTimeout = 15 * time.Second
 	// shardNamePrefix tells shards from engines among owned names.
 	shardNamePrefix = "shard/"
 	// queuedPerSlot bounds the waiting requests of a class per engine slot. The
@@ -61,10 +67,44 @@
 		return
 	}
 	r.suspects.configure(v.config.Limits())
+	if !r.joined() {
+		return
+	}
 	r.elector.SetNames(v.names())
 	held := r.elector.Held()
 	r.dispatch.Apply(policyOf(v.config), r.assignments(v, held))
 	r.shards.Apply(shardEpochs(held))
+	if r.settled(v, held) {
+		r.serving.Store(true)
+	}
+}
+
+// settled reports whether this router has found out who owns what it should
+// own. Until then it is not ready, so that the balancer sends it no request
+// that would be refused for want of an owner.
+func (r *Router) settled(v *view, held map[string]elector.Holding) bool {
+	if r.clock.Now().Sub(r.started) > settleTimeout {
+		return true
+	}
+	for name, owner := range v.wanted {
+		if _, own := held[name]; own || owner != r.self.ID {
+			continue
+		}
+		if _, known := r.elector.Owner(name); !known {
+			return false
+		}
+	}
+	return true
+}
+
+// joined reports whether the membership is known well enough to claim. A router
+// that claims before it has met its peers takes names that it must hand over a
+// moment later.
+func (r *Router) joined() bool {
+	if len(r.gossiper.Live()) > 1 {
+		return true
+	}
+	return r.clock.Now().Sub(r.started) > joinTimeout
 }
 
 // assignments returns the engines that this router owns.
--- a/router/router.go
+++ b/router/router.go
@@ -67,7 +67,10 @@
 	suspects  *suspects
 	telemetry *telemetry
 
-	view atomic.Pointer[view]
+	view    atomic.Pointer[view]
+	started time.Time
+	// serving is set once the router knows enough to serve.
+	serving atomic.Bool
 	// stopping is set once a planned stop has begun.
 	stopping atomic.Bool
 }
@@ -123,6 +126,7 @@
 	r.peer = do.MustInvoke[bergamotdale.Peer](i)
 	r.recorder = do.MustInvoke[bergamotdale.Recorder](i)
 	store := do.MustInvoke[bergamotdale.Store](i)
+	r.started = r.clock.Now()
 	r.self = bergamotdale.Member{
 		ID:            r.Settings.ID,
 		Address:       r.Settings.Listen.Peers,
