--- a/committer/committer.go
+++ b/committer/committer.go
@@ -6,12 +6,18 @@
 // the journal holds the owner's epoch and the open segment in one value, so a
 // single compare-and-swap commits a group of records and fails once another
 // owner has taken the shard over.
+//
+// The package has three layers. Records and journal are pure: they know what
+// is committed and build the next head. A Shard adds the calls in progress and
+// one loop that does all writes. Execute is the entry point of requests.
 package committer
 
 import (
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/hasher"
 )
@@ -23,11 +29,13 @@
 	MaxResponseBytes = 8 << 10
 	// MaxKeyBytes bounds the idempotency key of a request.
 	MaxKeyBytes = 256
-	// SegmentBytes is the size above which the open segment is sealed.
-	SegmentBytes = 64 << 10
-	// MinInterval is the time between two writes of a shard: 32 shards share
-	// 150 writes/s.
-	MinInterval = 214 * time.Millisecond
+)
+
+const (
+	// ErrFenced is returned where another owner has taken the shard over.
+	ErrFenced = errors.ConstError("shard taken over")
+	// ErrCorrupt is returned where the journal in the store cannot be read.
+	ErrCorrupt = errors.ConstError("journal corrupt")
 )
 
 // Request is a call that must not be repeated.
@@ -46,11 +54,23 @@
 }
 
 // name identifies the request: keys of different workspaces and services are
-// unrelated.
+// unrelated. Workspace and service names hold no NUL.
 func (r Request) name() string {
 	return r.Workspace + "\x00" + r.Service + "\x00" + r.Key
 }
 
+// validate returns the refusal of a malformed request, or nil.
+func (r Request) validate() *bergamotdale.Refusal {
+	if r.Key == "" {
+		return bergamotdale.Refuse(bergamotdale.CodeMissingKey, "this call needs an idempotency key")
+	}
+	if len(r.Key) > MaxKeyBytes {
+		return bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
+			"the idempotency key has more than %d bytes", MaxKeyBytes)
+	}
+	return nil
+}
+
 // CallFunc executes the call at an endpoint. A *bergamotdale.Refusal with
 // OutcomeNotRun states that the call was not executed and never will be. Any
 // other error leaves the outcome unknown.
@@ -62,7 +82,7 @@
 	// Repeated is true where the response comes from an earlier request with
 	// the same key.
 	Repeated bool
-	// Recorded is false where the response could not be committed. A later
+	// Recorded is false where the response was not committed in time. A later
 	// repeat may then get an unknown outcome.
 	Recorded bool
 }
@@ -72,9 +92,10 @@
 	// Number is the number of the shard and Epoch the epoch of the owner.
 	Number int
 	Epoch  int64
-	// Owner is the router with its incarnation.
+	// Owner is the router with its incarnation. Two processes never share it.
 	Owner string
 	Store bergamotdale.Store
+	// Clock defaults to the system clock.
 	Clock bergamotdale.Clock
 	// Lifetime is how long a record is kept.
 	Lifetime time.Duration
@@ -82,23 +103,59 @@
 	Interval time.Duration
 	// SegmentBytes is the size above which the open segment is sealed.
 	SegmentBytes int
-	// StoreTimeout bounds each call of the store.
+	// StoreTimeout bounds each call of the store, and with it the time that a
+	// request waits before it learns of an outage.
 	StoreTimeout time.Duration
+	// CallTimeout bounds a call. The context of the client does not: a call
+	// that was started is finished, so that a repeat gets its response.
+	CallTimeout time.Duration
 	// RepeatWait is how long a repeat waits for a call in progress.
 	RepeatWait time.Duration
 	// ProbeInterval is the time between two attempts to reach a store that is
 	// unavailable.
 	ProbeInterval time.Duration
-	// Held reports whether no other router can have claimed the shard, so that
-	// a refusal as not-run is true of the key as well. Nil means always. It is
-	// called with the lock of the shard held.
+	// Held reports whether no other router can have claimed the shard since
+	// this epoch. While it is false, a request with a new key is refused with an unknown outcome,
+	// because another owner may have executed it. Nil means always true. It is
+	// called with a lock held and must not block.
 	Held func() bool
 }
 
 // Defaults of Settings.
 const (
-	DefaultLifetime      = 24 * time.Hour
-	DefaultStoreTimeout  = 2 * time.Second
+	DefaultLifetime = 24 * time.Hour
+	// MinInterval lets 32 shards share 150 writes/s.
+	MinInterval         = 214 * time.Millisecond
+	DefaultSegmentBytes = 64 << 10
+	DefaultStoreTimeout = time.Second
+	// DefaultCallTimeout is far below the lifetime, so a call in progress
+	// always has its intent.
+	DefaultCallTimeout   = 60 * time.Second
 	DefaultRepeatWait    = 2 * time.Second
 	DefaultProbeInterval = time.Second
 )
+
+func (s Settings) withDefaults() Settings {
+	s.Lifetime = orDefault(s.Lifetime, DefaultLifetime)
+	s.Interval = orDefault(s.Interval, MinInterval)
+	s.SegmentBytes = orDefault(s.SegmentBytes, DefaultSegmentBytes)
+	s.StoreTimeout = orDefault(s.StoreTimeout, DefaultStoreTimeout)
+	s.CallTimeout = orDefault(s.CallTimeout, DefaultCallTimeout)
+	s.RepeatWait = orDefault(s.RepeatWait, DefaultRepeatWait)
+	s.ProbeInterval = orDefault(s.ProbeInterval, DefaultProbeInterval)
+	if s.Clock == nil {
+		s.Clock = bergamotdale.SystemClock{}
+	}
+	if s.Held == nil {
+		s.Held = func() bool { return true }
+	}
+	return s
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
