--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -29,11 +29,11 @@
 	Unfinished  int
 	Preemptions int
 	// Unplaced counts requests that every endpoint of the plan refused.
-	Unplaced int
-	Departures  int
-	Redirects   int
-	Reports     int
-	Admissions  int
+	Unplaced   int
+	Departures int
+	Redirects  int
+	Reports    int
+	Admissions int
 	// Reusable and Reused are prompt tokens of returning chats.
 	Reusable, Reused int
 	// Exceeded counts admissions above the bound for the true mean, and Peak is
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,7 +187,11 @@
 func (e *Elector) SetNames(names []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.names = append([]string(nil), names...)
+	if slices.Equal(e.names, names) {
+		// A new plan would draw the times of pending claims again.
+		return
+	}
+	e.names = slices.Clone(names)
 	e.wanted = nil
 }
 
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -65,7 +65,7 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage    *struct {
+	Usage *struct {
 		PromptTokens int `json:"prompt_tokens"`
 		Details      struct {
 			CachedTokens int `json:"cached_tokens"`
--- a/router/control.go
+++ b/router/control.go
@@ -23,7 +23,7 @@
 	// controlInterval is how often control looks around without an event: the
 	// draining marks and the state of the lease change with time alone.
 	controlInterval = 500 * time.Millisecond
-	// joinTimeout is how long a router without peers waits before it claims. It
+	// joinTimeout is how long a router waits for its peers before it claims. It
 	// covers a few rounds of probes to the seeds.
 	joinTimeout = 3 * time.Second
 	// settleTimeout is when a router serves even though it could not claim, for
@@ -101,10 +101,16 @@
 // that claims before it has met its peers takes names that it must hand over a
 // moment later.
 func (r *Router) joined() bool {
-	if len(r.gossiper.Live()) > 1 {
+	if r.clock.Now().Sub(r.started) > joinTimeout {
 		return true
 	}
-	return r.clock.Now().Sub(r.started) > joinTimeout
+	select {
+	case <-r.vms.first:
+	default:
+		return false
+	}
+	known := lo.SliceToMap(r.gossiper.View().Members(), func(m bergamotdale.Member) (string, bool) { return m.Address, true })
+	return lo.EveryBy(r.vms.routers(r.self.Address), func(address string) bool { return known[address] })
 }
 
 // assignments returns the engines that this router owns.
--- a/router/router.go
+++ b/router/router.go
@@ -148,7 +148,7 @@
 // configuration.
 func (r *Router) buildMembership(lister bergamotdale.VMLister, store bergamotdale.Store) {
 	r.vms = &vmWatcher{lister: lister, clock: r.clock, logger: r.Logger, interval: r.Settings.Periods.VMList,
-		seeds: r.Settings.Seeds, changed: make(chan struct{}, 1)}
+		seeds: r.Settings.Seeds, changed: make(chan struct{}, 1), first: make(chan struct{})}
 	config := gossiper.DefaultConfig()
 	config.ProbeInterval = r.Settings.Periods.Probe
 	r.gossiper = gossiper.New(config, r.self, r.clock)
@@ -202,6 +202,7 @@
 			return r.callers.Call(ctx, c, false)
 		},
 		Held:     func(name string) bool { return r.mode(name) == elector.ModeFull },
+		Opened:   r.elector.ConfirmFull,
 		Lifetime: func() time.Duration { return r.current().config.Limits().IdempotencyRecordLifetime },
 	}
 	r.forward = &forwarder.Forwarder{
--- a/router/vms.go
+++ b/router/vms.go
@@ -21,6 +21,8 @@
 	interval time.Duration
 	seeds    []string
 	changed  chan struct{}
+	// first is closed after the first attempt to read the list.
+	first chan struct{}
 
 	mu  sync.Mutex
 	vms []bergamotdale.VM
@@ -29,6 +31,7 @@
 // run reads the list until the context is done.
 func (w *vmWatcher) run(ctx context.Context) error {
 	w.read(ctx)
+	close(w.first)
 	for bergamotdale.Wait(ctx, w.clock, w.interval) == nil {
 		w.read(ctx)
 	}
@@ -53,8 +56,19 @@
 }
 
 // ListVMs implements bergamotdale.VMLister with the last known list and the
-// seeds of the settings.
-func (w *vmWatcher) ListVMs(context.Context) ([]bergamotdale.VM, error) {
+// seeds of the settings. It waits for the first attempt to read the list: the
+// gossiper asks again only seconds later.
+func (w *vmWatcher) ListVMs(ctx context.Context) ([]bergamotdale.VM, error) {
+	select {
+	case <-w.first:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return w.known(), nil
+}
+
+// known returns the last known list and the seeds.
+func (w *vmWatcher) known() []bergamotdale.VM {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	vms := append([]bergamotdale.VM(nil), w.vms...)
@@ -63,7 +77,7 @@
 			Name: seed, Address: seed, Role: gossiper.RouterRole, State: bergamotdale.VMLive,
 		})
 	}
-	return vms, nil
+	return vms
 }
 
 // draining returns the names of the VMs that are about to be stopped.
@@ -77,8 +91,7 @@
 
 // routers returns the addresses of the other routers in the list.
 func (w *vmWatcher) routers(except string) []string {
-	vms, _ := w.ListVMs(context.Background())
-	return lo.Uniq(lo.FilterMap(vms, func(vm bergamotdale.VM, _ int) (string, bool) {
+	return lo.Uniq(lo.FilterMap(w.known(), func(vm bergamotdale.VM, _ int) (string, bool) {
 		return vm.Address, vm.Role == gossiper.RouterRole && vm.Address != except
 	}))
 }
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -68,6 +68,9 @@
 	Call CallFunc
 	// Held reports whether no other router can have claimed the named shard.
 	Held func(name string) bool
+	// Opened is called once the journal of the named shard is open: the
+	// previous owner is fenced then and cannot commit any more.
+	Opened func(name string, epoch int64)
 	// Lifetime returns how long a record is kept.
 	Lifetime func() time.Duration
 
@@ -140,6 +143,7 @@
 	s.mu.Lock()
 	o.shard = shard
 	s.mu.Unlock()
+	s.Opened(name, o.epoch)
 	if err := shard.Run(ctx); err != nil {
 		s.Logger.Warn("shard stopped", zap.String("shard", name), zap.Int64("epoch", o.epoch), zap.Error(err))
 	}
