aggregator, forwarder, responder: bursts at idle, resume by event id

Cause: nine streams opened within 20 ms on an idle fleet of four engines were refused as overloaded: the load bound is relative to a mean that was up to 1 s old. A client that reconnected could not give the checksum of what it had read. Reports on every change; at the target size they would exceed the traffic budget. Change: loads are reported when they change by a tenth, at most every 100 ms; a request that meets the bound at a mean of up to 16 refreshes it; the entry asks all endpoints again up to three times, 100 ms apart, before it refuses. Event ids hold offset and checksum. Figures: TestPlannedStopsCutNoStream: 503 at the 7th of 9 streams before, all 27 streams complete after, across three planned stops and restarts.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/hasher"
@@ -59,6 +60,12 @@
 	means *Means
 	// avoid maps routers that failed to the end of their avoidance.
 	avoid map[string]time.Time
+	// reported holds the load of each owned endpoint in the last report, and
+	// refreshed the time of the last Refresh of each group; guarded by mu.
+	reported  map[string]int
+	refreshed map[string]time.Time
+	refreshes singleflight.Group
+	nudged    chan struct{}
 }
 
 // New returns an aggregator without groups.
@@ -73,6 +80,9 @@
 		table:      NewTable(),
 		means:      NewMeans(),
 		avoid:      map[string]time.Time{},
+		reported:   map[string]int{},
+		refreshed:  map[string]time.Time{},
+		nudged:     make(chan struct{}, 1),
 	}
 }
 
@@ -93,15 +103,6 @@
 	return a.table.Summary(now, r.Group)
 }
 
-// Run reports until the context is done.
-func (a *Aggregator) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		a.ReportOnce(ctx)
-		_ = bergamotdale.Wait(ctx, a.Clock, ReportInterval)
-	}
-	return nil
-}
-
 // ReportOnce reports all groups, each to its aggregator.
 func (a *Aggregator) ReportOnce(ctx context.Context) {
 	groups := a.Groups()
@@ -128,6 +129,7 @@
 		if err == nil {
 			delete(a.avoid, id)
 			a.means.Accept(sent, response, g.Size)
+			a.noteReported(g)
 			a.mu.Unlock()
 			return
 		}
--- a/aggregator/means.go
+++ b/aggregator/means.go
@@ -68,6 +68,10 @@
 	return &Means{groups: map[string]kept{}}
 }
 
+// clockTolerance is the error of a measured time: ages are rounded to
+// milliseconds and include the way of the request.
+const clockTolerance = 50 * time.Millisecond
+
 // Accept takes in a response to a request sent at the time, for a group of
 // that many configured endpoints. It reports false for a response that covers
 // at most half of the group, as that of a new aggregator does for a moment:
@@ -80,7 +84,7 @@
 	// The age counts from the sending of the request, which is before the
 	// aggregator computed it.
 	measured := sent.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
-	if known, ok := m.groups[r.Group]; ok && measured.Before(known.measured) {
+	if known, ok := m.groups[r.Group]; ok && measured.Before(known.measured.Add(-clockTolerance)) {
 		return false
 	}
 	m.groups[r.Group] = kept{r, measured}
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -147,6 +147,7 @@
 		}
 	}
 	a.record(j, "request-queued", "")
+	a.dispatcher.Loads.Changed()
 	a.signal()
 	return nil
 }
@@ -168,15 +169,17 @@
 	}
 	mean, known := a.dispatcher.Loads.Mean(c.Model)
 	if known && !a.policy.Bound.Admits(mean, a.queue.Load()) {
-		return a.overloaded(c)
+		return a.overloaded(c, mean)
 	}
 	return nil
 }
 
 // overloaded refuses a completion because of the load bound. It remembers
 // where it sent the chat, so that the chat finds its cache when it returns.
-func (a *admission) overloaded(c bergamotdale.Completion) error {
-	refusal := bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%s is at its load bound", c.Endpoint).After(overloadRetry)
+func (a *admission) overloaded(c bergamotdale.Completion, mean placer.Mean) error {
+	refusal := bergamotdale.Refuse(bergamotdale.CodeOverloaded,
+		"%s is at its load bound: it has %d requests, its group %d on %d engines %s ago",
+		c.Endpoint, a.queue.Load(), mean.Load, mean.Engines, mean.Age).After(overloadRetry)
 	other := a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)
 	if other == "" {
 		return refusal
@@ -237,6 +240,7 @@
 	}
 	delete(a.jobs, j.id)
 	a.dispatcher.jobs.Done()
+	a.dispatcher.Loads.Changed()
 	a.signal()
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -61,6 +62,11 @@
 type Loads interface {
 	// Mean returns the mean load of the group; false if it was never known.
 	Mean(group string) (placer.Mean, bool)
+	// Refresh brings the mean of the group up to date and reports whether it
+	// may have changed.
+	Refresh(group string) bool
+	// Changed tells that the load of an owned engine has changed.
+	Changed()
 	// LeastLoaded returns an engine of the group with room, other than the
 	// one given, or "".
 	LeastLoaded(group, except string) string
@@ -171,7 +177,7 @@
 	if refusal := d.Quarantine.Refusal(c.Fingerprint); refusal != nil {
 		return nil, refusal
 	}
-	if err := a.admit(c); err != nil {
+	if err := d.admit(a, c); err != nil {
 		return nil, err
 	}
 	stream, err := d.Replayer.Read(ctx, c.StreamID(), c.ResumeFrom)
@@ -183,6 +189,17 @@
 	return d.attach(stream, c), nil
 }
 
+// admit queues the completion. A refusal because of the load bound is checked
+// once more with the present mean, which lags behind the loads.
+func (d *Dispatcher) admit(a *admission, c bergamotdale.Completion) error {
+	err := a.admit(c)
+	if refusal := (*bergamotdale.Refusal)(nil); errors.As(err, &refusal) &&
+		refusal.Code == bergamotdale.CodeOverloaded && d.Loads.Refresh(c.Model) {
+		return a.admit(c)
+	}
+	return err
+}
+
 // Load is the load of an owned engine, for the aggregator of its group.
 type Load struct {
 	Endpoint string
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,12 @@
 	maxRedirects = 2
 	// maxSpills is how many endpoints besides the first one are asked for room.
 	maxSpills = 4
+	// placeRounds is how often all endpoints are asked for room, and roundWait
+	// the time between two rounds. The mean that the load bound is relative to
+	// lags by up to 100 ms when a group that was idle gets a burst: for that
+	// long every engine can seem to be at its bound.
+	placeRounds = 4
+	roundWait   = 100 * time.Millisecond
 	// pathForward is the message that carries a completion to the owner.
 	pathForward = "forward"
 )
@@ -157,8 +163,27 @@
 	return r.place(ctx, c)
 }
 
-// place tries endpoints until one accepts the completion.
+// place asks endpoints until one accepts the completion. If all of them are at
+// their load bound, it asks them again a moment later.
 func (r *route) place(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
+	order := r.endpoints
+	for round := 1; ; round++ {
+		stream, refusal := r.placeOnce(ctx, c)
+		if refusal == nil {
+			return stream, nil
+		}
+		if refusal.Code != bergamotdale.CodeOverloaded || round == placeRounds {
+			return nil, refusal
+		}
+		if err := bergamotdale.Wait(ctx, r.forwarder.Clock, roundWait); err != nil {
+			return nil, refusal
+		}
+		r.endpoints, r.exhausted = order, false
+	}
+}
+
+// placeOnce asks each endpoint once until one accepts the completion.
+func (r *route) placeOnce(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, *bergamotdale.Refusal) {
 	var best *bergamotdale.Refusal
 	for range maxSpills + 1 {
 		c.Endpoint = r.endpoints[0]
@@ -184,12 +209,15 @@
 // advance makes another endpoint the next one. It reports whether there is one.
 func (r *route) advance(refusal *bergamotdale.Refusal) bool {
 	r.record("request-spilled", refusal.Error())
-	tried := r.endpoints[0]
-	r.endpoints = r.endpoints[1:]
+	tried, rest := r.endpoints[0], r.endpoints[1:]
 	if refusal.Redirect != nil && refusal.Redirect.Endpoint != "" && refusal.Redirect.Endpoint != tried {
-		r.endpoints = append([]string{refusal.Redirect.Endpoint}, r.endpoints...)
+		rest = append([]string{refusal.Redirect.Endpoint}, rest...)
 	}
-	return len(r.endpoints) > 0
+	if len(rest) == 0 {
+		return false
+	}
+	r.endpoints = rest
+	return true
 }
 
 // better returns the refusal that tells the client to come back earlier.
--- a/responder/completion.go
+++ b/responder/completion.go
@@ -24,7 +24,7 @@
 type completionInput struct {
 	Identity
 	Chat        string `header:"X-Bergamotdale-Chat" doc:"stable id of the chat; derived from the first messages if missing" maxLength:"256"`
-	LastEventID string `header:"Last-Event-ID" doc:"token offset after which to resume a stream"`
+	LastEventID string `header:"Last-Event-ID" doc:"id of the last event that the client has read"`
 	RawBody     []byte `contentType:"application/json"`
 }
 
@@ -52,12 +52,14 @@
 	if refusal != nil {
 		return nil, r.refuse(refusal, id, grant)
 	}
-	offset, refusal := parseLastEventID(in.LastEventID)
+	last, refusal := parseLastEventID(in.LastEventID)
 	if refusal != nil {
 		return nil, r.refuse(refusal, id, grant)
 	}
 	c := newCompletion(id, in, body, grant)
-	c.ResumeFrom = offset
+	if last.Checksum != 0 {
+		c.ResumeFrom, c.ResumeChecksum = last.Offset, last.Checksum.String()
+	}
 
 	// huma cancels ctx when the handler returns; the stream outlives it and
 	// ends with the client's connection instead.
@@ -75,6 +77,7 @@
 		grant:      grant,
 		stream:     stream,
 		created:    r.Clock.Now(),
+		last:       last,
 		close: func() {
 			_ = stream.Close()
 			stop()
--- a/responder/parse.go
+++ b/responder/parse.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 const (
@@ -98,18 +99,30 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// parseLastEventID returns the number of tokens that a reconnecting client
-// already has.
-func parseLastEventID(s string) (int, *bergamotdale.Refusal) {
+// parseLastEventID returns how far a reconnecting client has read: a token
+// offset, and after a colon the checksum of the tokens so far. A client that
+// knows only the offset is served from the start, without the tokens that it
+// has already.
+func parseLastEventID(s string) (streamer.Position, *bergamotdale.Refusal) {
 	if s == "" {
-		return 0, nil
+		return streamer.Position{}, nil
 	}
-	offset, err := strconv.Atoi(s)
-	if err != nil || offset < 0 {
-		return 0, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
-			"%s is %q, expected a token offset", HeaderLastEventID, s)
+	number, checksum, found := strings.Cut(s, ":")
+	offset, err := strconv.Atoi(number)
+	if err == nil && offset >= 0 && !found {
+		return streamer.Position{Offset: offset}, nil
 	}
-	return offset, nil
+	sum, sumErr := streamer.ParseChecksum(checksum)
+	if err != nil || offset < 0 || sumErr != nil {
+		return streamer.Position{}, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
+			"%s is %q, expected the id of an event", HeaderLastEventID, s)
+	}
+	return streamer.Position{Offset: offset, Checksum: sum}, nil
+}
+
+// eventID is the inverse of parseLastEventID.
+func eventID(p streamer.Position) string {
+	return strconv.Itoa(p.Offset) + ":" + p.Checksum.String()
 }
 
 // bearer returns the API key of an Authorization header.
--- a/responder/stream.go
+++ b/responder/stream.go
@@ -12,6 +12,7 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 // responseWriter holds what is needed to write one completion response.
@@ -21,7 +22,9 @@
 	grant      Grant
 	stream     bergamotdale.FrameStream
 	created    time.Time
-	close      func()
+	// last is the position up to which the client has read already.
+	last  streamer.Position
+	close func()
 }
 
 // chunk is an object of the chat completions API: a chunk of a stream or a
@@ -133,11 +136,19 @@
 		defer close(done)
 		setHeaders(ctx, w.completion, "text/event-stream")
 		ctx.SetHeader("Cache-Control", "no-store")
-		events := &eventWriter{writer: ctx.BodyWriter(), response: &w}
+		events := &eventWriter{writer: ctx.BodyWriter(), response: &w, position: w.start()}
 		r.copyStream(events, first, frames)
 	}}, nil
 }
 
+// start returns the position of the first frame from the backend.
+func (w *responseWriter) start() streamer.Position {
+	if w.completion.ResumeFrom == 0 {
+		return streamer.Position{}
+	}
+	return w.last
+}
+
 // firstFrame waits for the first frame that is not a heartbeat. It returns no
 // frame after StatusWait, and a refusal if the stream starts with one.
 func (r *Responder) firstFrame(frames <-chan received) (*received, *bergamotdale.Refusal) {
@@ -236,12 +247,15 @@
 	}}
 }
 
-// eventWriter writes server-sent events. The event id is the token offset
-// after the event, which a reconnecting client sends as Last-Event-ID.
+// eventWriter writes server-sent events. The event id is the position after the
+// event, which a reconnecting client sends as Last-Event-ID.
 type eventWriter struct {
 	writer   io.Writer
 	response *responseWriter
 	started  bool
+	// position follows the tokens of the backend, which may start before the
+	// tokens that the client still needs.
+	position streamer.Position
 }
 
 // writeHeartbeat writes a comment without an empty line after it: some client
@@ -253,22 +267,27 @@
 }
 
 func (e *eventWriter) writeData(f bergamotdale.Frame) bool {
-	delta := &chatMessage{Content: strings.Join(f.Tokens, "")}
+	e.position = e.position.Add(f.Tokens...)
+	known := min(max(e.response.last.Offset-f.Offset, 0), len(f.Tokens))
+	if known == len(f.Tokens) {
+		return true
+	}
+	delta := &chatMessage{Content: strings.Join(f.Tokens[known:], "")}
 	if !e.started {
 		delta.Role = "assistant"
 		e.started = true
 	}
-	return e.write(f.Offset+len(f.Tokens), e.response.newChunk("chat.completion.chunk", choice{Delta: delta}))
+	return e.write(e.response.newChunk("chat.completion.chunk", choice{Delta: delta}))
 }
 
 func (e *eventWriter) writeEnd(f bergamotdale.Frame) {
 	last := e.response.newChunk("chat.completion.chunk", choice{Delta: &chatMessage{}, FinishReason: &f.FinishReason})
 	last.Integrity = &integrity{Length: f.Length, Checksum: f.Checksum}
-	e.write(f.Length, last)
+	e.write(last)
 	if e.response.body.StreamOptions.IncludeUsage {
 		counts := e.response.newChunk("chat.completion.chunk")
 		counts.Usage = usageOf(f)
-		e.write(f.Length, counts)
+		e.write(counts)
 	}
 	_, _ = io.WriteString(e.writer, "data: [DONE]\n\n")
 	e.flush()
@@ -284,12 +303,12 @@
 	e.flush()
 }
 
-func (e *eventWriter) write(offset int, c chunk) bool {
+func (e *eventWriter) write(c chunk) bool {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return false
 	}
-	_, err = fmt.Fprintf(e.writer, "id: %d\ndata: %s\n\n", offset, data)
+	_, err = fmt.Fprintf(e.writer, "id: %s\ndata: %s\n\n", eventID(e.position), data)
 	e.flush()
 	return err == nil
 }
--- a/router/control.go
+++ b/router/control.go
@@ -29,6 +29,8 @@
 	// settleTimeout is when a router serves even though it could not claim, for
 	// example because the store is down.
 	settleTimeout = 15 * time.Second
+	// refreshTimeout bounds the wait for an up-to-date mean.
+	refreshTimeout = 200 * time.Millisecond
 	// shardNamePrefix tells shards from engines among owned names.
 	shardNamePrefix = "shard/"
 	// queuedPerSlot bounds the waiting requests of a class per engine slot. The
@@ -256,6 +258,18 @@
 	return placer.Mean{Load: mean.Total, Engines: mean.Endpoints, Age: mean.Age}, true
 }
 
+// Refresh implements dispatcher.Loads.
+func (l *loads) Refresh(model string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+	defer cancel()
+	return l.router.loads.Refresh(ctx, l.group(model))
+}
+
+// Changed implements dispatcher.Loads.
+func (l *loads) Changed() {
+	l.router.loads.Nudge()
+}
+
 // LeastLoaded implements dispatcher.Loads.
 func (l *loads) LeastLoaded(model, except string) string {
 	mean, ok := l.router.loads.Mean(l.group(model))
