follower, validator: tests of conflicts, lost messages, outage, silent long poll

Cause: the follower's behaviour under faults was untested.

Change: tests of F5, F6, F8, F10 and of a store that goes back, a rapid test with up to four writers under lost requests and responses, tests of the deletion of sections.

--- /dev/null
+++ b/follower/fault_test.go
@@ -0,0 +1,316 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/storetester"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// Guards against a lost update (F8), and against a conflict that does not say
+// what both sides changed.
+func TestConflictHoldsTheDifferences(t *testing.T) {
+	fl := newFleet(t)
+	a, b := fl.start("a"), fl.start("b")
+	<-a.Started()
+	_, err := apply(a, 0, document(t))
+	assert.NilError(t, err)
+	fl.inForce(1, a, b)
+	_, err = apply(a, 1, weighted(t, 3))
+	assert.NilError(t, err)
+
+	mine := document(t)
+	mine.Limits.RetryRatio = 0.05
+	_, err = apply(b, 1, mine)
+	var conflict *follower.ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.Revision, int64(2))
+	assert.Equal(t, conflict.InForce.Author, "jiwoo")
+	assert.DeepEqual(t, conflict.Since, []validator.Difference{
+		{Path: "workspaces[inn].weight", Before: "1", After: "3"},
+	})
+	assert.DeepEqual(t, conflict.Proposed, []validator.Difference{
+		{Path: "workspaces[inn].weight", Before: "3", After: "1"},
+		{Path: "limits.retry-ratio", Before: "0.1", After: "0.05"},
+	})
+}
+
+// Guards against a revision that takes effect although its writer reports a
+// failure, is written twice, or is reported although it is not there (F6, F8).
+func TestConcurrentAppliesUnderLostMessages(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fl := newFleet(t)
+		writers := rapid.IntRange(1, 4).Draw(rt, "writers")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 5), 40, 40).Draw(rt, "faults")
+		var calls atomic.Int64
+		hook := func(op storetester.Op) error {
+			if op != storetester.OpCompareAndSwap {
+				return nil
+			}
+			switch faults[int(calls.Add(1))%len(faults)] {
+			case 4:
+				fl.store.LoseResponses(1)
+			case 5:
+				fl.store.LoseRequests(1)
+			}
+			return nil
+		}
+		fl.hook.Store(&hook)
+		defer fl.stop()
+		var mu sync.Mutex
+		accepted := map[int64]float64{}
+		unknown := map[float64]bool{}
+		var finished atomic.Int64
+		for w := range writers {
+			f := fl.start(fmt.Sprintf("w%d", w))
+			go func() {
+				defer finished.Add(1)
+				<-f.Started()
+				for i := range 5 {
+					weight := float64(100*w + i + 2)
+					_, base := f.Document()
+					result, err := apply(f, base, weighted(t, weight))
+					var refusal *bergamotdale.Refusal
+					mu.Lock()
+					if err == nil {
+						accepted[result.Revision] = weight
+					} else if errors.As(err, &refusal) && refusal.Outcome == bergamotdale.OutcomeUnknown {
+						unknown[weight] = true
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+		fl.eventually("writers finish", nil, func() bool { return finished.Load() == int64(writers) })
+		fl.hook.Store(nil)
+		fl.checkHistory(rt, accepted, unknown)
+	})
+}
+
+// checkHistory compares the store with what the writers were told.
+func (fl *fleet) checkHistory(t *rapid.T, accepted map[int64]float64, unknown map[float64]bool) {
+	reader := &follower.Follower{
+		Router: "reader", Store: fl.store, Peer: fl, Clock: fl.clock, Recorder: discard{},
+		Logger: zapNop, Peers: func() []string { return nil },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reader.Run(ctx)
+	<-reader.Started()
+	history := reader.History()
+	for i, c := range history {
+		assert.Equal(t, c.Revision, int64(len(history)-i))
+		d, err := reader.DocumentAt(ctx, c.Revision)
+		assert.NilError(t, err)
+		weight := d.Workspaces[workspaceIndex(d, "inn")].Weight
+		told, ok := accepted[c.Revision]
+		assert.Assert(t, (ok && told == weight) || unknown[weight], "revision %d has weight %g, told %g", c.Revision, weight, told)
+	}
+	for revision := range accepted {
+		assert.Assert(t, revision <= int64(len(history)), "revision %d was reported", revision)
+	}
+}
+
+func workspaceIndex(d *validator.Document, name string) int {
+	for i, w := range d.Workspaces {
+		if w.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against a router that loses its configuration in an outage (F5), or
+// that cannot start during one although its peers serve.
+func TestOutage(t *testing.T) {
+	fl := newFleet(t)
+	a := fl.start("a")
+	<-a.Started()
+	_, err := apply(a, 0, document(t))
+	assert.NilError(t, err)
+	fl.store.SetOutage(true)
+	b := fl.start("b")
+	fl.inForce(1, a, b)
+	<-b.Started()
+
+	_, err = apply(a, 1, weighted(t, 2))
+	var refusal *bergamotdale.Refusal
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	assert.Equal(t, refusal.Code, bergamotdale.CodeStoreUnavailable)
+	assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeNotRun)
+
+	fl.store.SetOutage(false)
+	_, err = apply(a, 1, weighted(t, 2))
+	assert.NilError(t, err)
+	ended := fl.clock.Now()
+	fl.inForce(2, a, b)
+	assert.Assert(t, fl.clock.Now().Sub(ended) <= 4*time.Second)
+}
+
+// cutOff is a store that one router cannot reach while cut is set. Its long
+// polls hang, as on a connection that has gone silent (F10).
+type cutOff struct {
+	bergamotdale.Store
+	cut atomic.Bool
+}
+
+func (s *cutOff) Get(ctx context.Context, key string) (bergamotdale.Entry, error) {
+	if s.cut.Load() {
+		return bergamotdale.Entry{}, bergamotdale.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutOff) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (bergamotdale.Entry, error) {
+	<-ctx.Done()
+	return bergamotdale.Entry{}, ctx.Err()
+}
+
+// Guards against a router that misses a revision because its long poll went
+// silent, or because only its peers reach the store (F10, F12).
+func TestHintBeatsSilentLongPoll(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut off %t", cut), func(t *testing.T) {
+			fl := newFleet(t)
+			a := fl.start("a")
+			<-a.Started()
+			_, err := apply(a, 0, document(t))
+			assert.NilError(t, err)
+			store := &cutOff{Store: fl.store}
+			b := fl.startOn("b", store)
+			fl.inForce(1, b)
+			<-b.Started()
+			store.cut.Store(cut)
+			_, err = apply(a, 1, weighted(t, 2))
+			assert.NilError(t, err)
+			accepted := fl.clock.Now()
+			b.Hint(2)
+			fl.inForce(2, b)
+			assert.Assert(t, fl.clock.Now().Sub(accepted) <= 4*time.Second)
+		})
+	}
+}
+
+// Guards against a revision that reverts when the store goes back (I7), and
+// against revision numbers that are then used twice.
+func TestStoreThatGoesBack(t *testing.T) {
+	ctx := context.Background()
+	fl := newFleet(t)
+	a, b := fl.start("a"), fl.start("b")
+	<-a.Started()
+	_, err := apply(a, 0, document(t))
+	assert.NilError(t, err)
+	old, err := fl.store.Get(ctx, follower.HeadKey)
+	assert.NilError(t, err)
+	_, err = apply(a, 1, weighted(t, 2))
+	assert.NilError(t, err)
+	_, err = apply(a, 2, weighted(t, 3))
+	assert.NilError(t, err)
+	fl.inForce(3, a, b)
+
+	sections, err := fl.store.List(ctx, follower.SectionPrefix)
+	assert.NilError(t, err)
+	for _, s := range sections {
+		assert.NilError(t, fl.store.Delete(ctx, s.Key, s.Version))
+	}
+	now, err := fl.store.Get(ctx, follower.HeadKey)
+	assert.NilError(t, err)
+	_, err = fl.store.CompareAndSwap(ctx, follower.HeadKey, old.Value, now.Version)
+	assert.NilError(t, err)
+	c := fl.start("c")
+	fl.inForce(3, a, b, c)
+
+	result, err := apply(a, 3, weighted(t, 4))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, int64(4))
+	fl.inForce(4, a, b, c)
+}
+
+// Guards against a malformed head or section that replaces a working revision.
+func TestMalformedHeadIsIgnored(t *testing.T) {
+	ctx := context.Background()
+	fl := newFleet(t)
+	a := fl.start("a")
+	<-a.Started()
+	_, err := apply(a, 0, document(t))
+	assert.NilError(t, err)
+	before := fl.store.Count(storetester.OpWatch)
+	for _, value := range []string{"", "{}", `{"revision": 9}`, `{"revision": 9, "history": [{"revision": 9}]}`} {
+		now, err := fl.store.Get(ctx, follower.HeadKey)
+		assert.NilError(t, err)
+		_, err = fl.store.CompareAndSwap(ctx, follower.HeadKey, []byte(value), now.Version)
+		assert.NilError(t, err)
+	}
+	fl.eventually("the head was read", nil, func() bool { return fl.store.Count(storetester.OpWatch) > before+1 })
+	assert.Equal(t, a.Status().Revision, int64(1))
+}
+
+// Guards against sections that pile up in the store, and against the deletion
+// of one that the history or a returning revision still needs.
+func TestObsoleteSectionsAreDeleted(t *testing.T) {
+	ctx := context.Background()
+	fl := newFleet(t)
+	a := fl.start("a")
+	<-a.Started()
+	const revisions = 3 * follower.HistoryLength
+	for i := range int64(revisions) {
+		// Every tenth revision returns to the first weight.
+		weight := float64(i%10 + 10*(i/10)*min(i%10, 1) + 1)
+		_, err := apply(a, i, weighted(t, weight))
+		assert.NilError(t, err)
+	}
+	for _, c := range a.History() {
+		_, err := a.DocumentAt(ctx, c.Revision)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(a.History()), follower.HistoryLength)
+	sections, err := fl.store.List(ctx, follower.SectionPrefix)
+	assert.NilError(t, err)
+	assert.Assert(t, len(sections) <= follower.HistoryLength+len(validator.SectionNames()), "%d sections", len(sections))
+}
+
+// Guards against a deletion that removes a section which another writer is
+// about to reference.
+func TestDeletionSparesTouchedSections(t *testing.T) {
+	fl := newFleet(t)
+	a, b := fl.start("a"), fl.start("b")
+	<-a.Started()
+	for i := range int64(follower.HistoryLength) {
+		_, err := apply(a, i, weighted(t, float64(i+1)))
+		assert.NilError(t, err)
+	}
+	fl.inForce(follower.HistoryLength, b)
+	// While a deletes the section of revision 1, b returns to it.
+	var interleaved atomic.Bool
+	hook := func(op storetester.Op) error {
+		if op == storetester.OpDelete && interleaved.CompareAndSwap(false, true) {
+			_, err := apply(b, follower.HistoryLength+1, weighted(t, 1))
+			assert.NilError(t, err)
+		}
+		return nil
+	}
+	fl.hook.Store(&hook)
+	_, err := apply(a, follower.HistoryLength, weighted(t, 999))
+	assert.NilError(t, err)
+	assert.Assert(t, interleaved.Load())
+	fl.inForce(follower.HistoryLength+2, a, b)
+	// A follower without peers has only the sections of the store.
+	fl.mu.Lock()
+	clear(fl.routers)
+	fl.mu.Unlock()
+	c := fl.start("c")
+	fl.inForce(follower.HistoryLength+2, c)
+	document, _ := c.Document()
+	assert.Equal(t, document.Workspaces[workspaceIndex(document, "inn")].Weight, 1.0)
+}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,15 +26,37 @@
 	clock *storetester.Clock
 	store *storetester.Store
 
+	// hook runs before each call of the store.
+	hook atomic.Pointer[func(op storetester.Op) error]
+
 	mu      sync.Mutex
 	routers map[string]*follower.Follower
+	stops   []func()
 }
 
 func newFleet(t *testing.T) *fleet {
 	c := storetester.NewClock(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC))
-	return &fleet{t: t, clock: c, store: storetester.New(c), routers: map[string]*follower.Follower{}}
+	fl := &fleet{t: t, clock: c, store: storetester.New(c), routers: map[string]*follower.Follower{}}
+	fl.store.BeforeCall = func(op storetester.Op, _ string) error {
+		if hook := fl.hook.Load(); hook != nil {
+			return (*hook)(op)
+		}
+		return nil
+	}
+	t.Cleanup(fl.stop)
+	return fl
 }
 
+// stop ends all followers. It may be called twice.
+func (fl *fleet) stop() {
+	for _, stop := range fl.stops {
+		stop()
+	}
+	fl.stops = nil
+}
+
+var zapNop = zap.NewNop()
+
 type discard struct{}
 
 func (discard) Record(bergamotdale.Event) {}
@@ -46,7 +69,7 @@
 func (fl *fleet) startOn(name string, store bergamotdale.Store) *follower.Follower {
 	f := &follower.Follower{
 		Router: name, Store: store, Peer: fl, Clock: fl.clock,
-		Recorder: discard{}, Logger: zap.NewNop(),
+		Recorder: discard{}, Logger: zapNop,
 		Peers: func() []string { return fl.others(name) },
 	}
 	fl.mu.Lock()
@@ -55,7 +78,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- f.Run(ctx) }()
-	fl.t.Cleanup(func() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.stops = append(fl.stops, func() {
 		cancel()
 		assert.NilError(fl.t, <-done)
 	})
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -109,7 +110,7 @@
 	})
 	again, err := shuffled.Split()
 	assert.NilError(t, err)
-	assert.DeepEqual(t, sections, again)
+	assert.Assert(t, reflect.DeepEqual(sections, again))
 
 	data := map[string][]byte{}
 	for _, s := range sections {
@@ -118,7 +119,7 @@
 	}
 	joined, err := validator.Join(data)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, joined, d)
+	assert.Assert(t, reflect.DeepEqual(joined, d))
 
 	text, err := d.YAML()
 	assert.NilError(t, err)
