--- a/aggregator/refresh.go
+++ b/aggregator/refresh.go
@@ -35,27 +35,32 @@
 // loads a mean that is one second old would refuse a burst that the group has
 // room for.
 func (a *Aggregator) Run(ctx context.Context) error {
-	next := a.Clock.Now()
+	var next time.Time
 	for ctx.Err() == nil {
-		now := a.Clock.Now()
-		if !now.Before(next) {
+		if now := a.Clock.Now(); now.Before(next) {
+			a.reportChanged(ctx)
+		} else {
 			next = now.Add(ReportInterval)
 			a.ReportOnce(ctx)
-		} else {
-			a.reportChanged(ctx)
-		}
-		if bergamotdale.Wait(ctx, a.Clock, MinReportInterval) != nil {
-			break
-		}
-		select {
-		case <-a.nudged:
-		case <-a.Clock.After(next.Sub(a.Clock.Now())):
-		case <-ctx.Done():
 		}
+		a.pause(ctx, next)
 	}
 	return nil
 }
 
+// pause waits until the next report is due or a load has changed, and at least
+// for MinReportInterval.
+func (a *Aggregator) pause(ctx context.Context, next time.Time) {
+	if bergamotdale.Wait(ctx, a.Clock, MinReportInterval) != nil {
+		return
+	}
+	select {
+	case <-a.nudged:
+	case <-a.Clock.After(next.Sub(a.Clock.Now())):
+	case <-ctx.Done():
+	}
+}
+
 // reportChanged reports the groups whose load differs enough from the last
 // report.
 func (a *Aggregator) reportChanged(ctx context.Context) {
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -314,7 +314,7 @@
 	if claimed && a.ownership.Standing() == limiter.StandingConfirmed {
 		a.dispatcher.Ownership.Confirmed(a.assignment.Name, a.assignment.Epoch)
 	}
-	a.crash.incarnation = load.Incarnation
+	a.noteIncarnation(load.Incarnation)
 	a.signal()
 }
 
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -32,6 +32,8 @@
 	buffer     *streamer.Buffer
 	running    bool
 	preempted  bool
+	// started is when the job last got a slot.
+	started time.Time
 	// stop ends the stream to the engine; nil while the job waits.
 	stop context.CancelFunc
 }
@@ -64,6 +66,7 @@
 	ctx, cancel := context.WithCancel(a.dispatcher.ctx)
 	j.stop = cancel
 	j.running = true
+	j.started = now
 	a.record(j, "request-started", fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
 	go a.execute(ctx, j, item.Class, a.assignment.Address)
 }
@@ -146,6 +149,12 @@
 		WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
 }
 
+// endpointCrashed is the refusal of a request whose engine has crashed.
+func endpointCrashed() *bergamotdale.Refusal {
+	return bergamotdale.Refuse(bergamotdale.CodeEndpointFailed, "the engine crashed").
+		WithOutcome(bergamotdale.OutcomeUnknown)
+}
+
 // progress tells the scheduler and the limiter about generated tokens.
 func (a *admission) progress(j *job, now time.Time, f bergamotdale.Frame, elapsed time.Duration) {
 	a.mu.Lock()
@@ -162,7 +171,9 @@
 // to the queue after a preemption, or is refused.
 func (a *admission) end(ctx context.Context, j *job, address string, last bergamotdale.Frame) {
 	if last.Kind == bergamotdale.FrameRefusal && ctx.Err() == nil && last.Refusal.Code != bergamotdale.CodeEndpointRefused {
-		a.inspectFailure(j, address)
+		if a.inspectFailure(j, address) {
+			last = streamer.RefusalFrame(j.id, j.buffer.Position().Offset, endpointCrashed())
+		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -46,17 +46,11 @@
 	engines   []*Engine
 	services  []*Service
 	routers   []*Router
+	states    map[string]bergamotdale.VMState
 	stopFakes context.CancelFunc
 	fakes     sync.WaitGroup
 }
 
-// Engine is a fake engine of the fleet.
-type Engine struct {
-	*engineserver.Server
-	Name   string
-	Faults *injector.Injector
-}
-
 // Service is a fake service endpoint of the fleet.
 type Service struct {
 	*serviceserver.Server
@@ -83,6 +77,7 @@
 	}
 	fakeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	f.stopFakes = cancel
+	f.states = map[string]bergamotdale.VMState{}
 	if err := f.startFakes(fakeCtx); err != nil {
 		return errors.Trace(err)
 	}
@@ -123,29 +118,6 @@
 	return nil
 }
 
-func (f *Fleet) startEngine(ctx context.Context, i int) error {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.2.%d:0", i+1))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	e := &Engine{Name: fmt.Sprintf("engine-%02d", i+1), Faults: &injector.Injector{}}
-	e.Server = &engineserver.Server{
-		Address:  listener.Addr().String(),
-		Listener: listener,
-		Name:     e.Name,
-		// Fast enough for short tests.
-		TokenRate:   500,
-		PrefillRate: 100000,
-		Faults:      e.Faults,
-	}
-	if f.Engine != nil {
-		f.Engine(e.Server)
-	}
-	f.engines = append(f.engines, e)
-	f.runFake(ctx, e.Run)
-	return nil
-}
-
 func (f *Fleet) startService(ctx context.Context, i int) error {
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", i+1))
 	if err != nil {
@@ -252,9 +224,23 @@
 	for _, e := range f.engines {
 		vms = append(vms, bergamotdale.VM{Name: e.Name, Address: e.Address, Role: "engine", State: bergamotdale.VMLive})
 	}
+	for i, vm := range vms {
+		if state, ok := f.states[vm.Name]; ok {
+			vms[i].State = state
+		}
+	}
 	f.platform.SetVMs(vms)
 }
 
+// SetVMState changes the state of a VM in the platform's list.
+func (f *Fleet) SetVMState(name string, state bergamotdale.VMState) {
+	f.states[name] = state
+	f.listVMs()
+}
+
+// PlatformFaults injects faults into the store and the VM list.
+func (f *Fleet) PlatformFaults() *injector.Injector { return f.platform.Faults }
+
 // Stop stops a router gracefully and waits for its end.
 func (r *Router) Stop() error {
 	r.stop()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,6 +33,9 @@
 	// long every engine can seem to be at its bound.
 	placeRounds = 4
 	roundWait   = 100 * time.Millisecond
+	// crashWait is the wait after a crash. In this time the fleet learns which
+	// requests were running, so that one that crashes engines is run apart.
+	crashWait = time.Second
 	// pathForward is the message that carries a completion to the owner.
 	pathForward = "forward"
 )
@@ -130,6 +133,8 @@
 	// broken is true after the endpoint itself failed, so that the next stream
 	// goes to another one.
 	broken bool
+	// crashed is true after the endpoint crashed under the request.
+	crashed bool
 	// exhausted is true once no endpoint has room; the refusal is final then.
 	exhausted bool
 }
@@ -140,6 +145,7 @@
 		return false
 	}
 	r.broken = refusal.Code != bergamotdale.CodeNotOwner
+	r.crashed = refusal.Code == bergamotdale.CodeEndpointFailed
 	return true
 }
 
@@ -153,6 +159,12 @@
 		}
 		r.record("request-retried", "")
 	}
+	if r.crashed {
+		r.crashed = false
+		if err := bergamotdale.Wait(ctx, r.forwarder.Clock, crashWait); err != nil {
+			return nil, err
+		}
+	}
 	if r.broken && len(r.endpoints) > 1 {
 		r.endpoints = r.endpoints[1:]
 	}
--- a/router/failure_test.go
+++ b/router/failure_test.go
@@ -119,11 +119,10 @@
 	return s.text.String()
 }
 
-// ownerOf starts streams with different request IDs until one runs at an engine
-// owned by the router with the index, and returns it after its first event.
-func streamAt(t *testing.T, f *fleettester.Fleet, entry int, prefix string) *clientStream {
+// streamAt opens a stream through a router and returns it after its first event.
+func streamAt(t *testing.T, f *fleettester.Fleet, entry int, requestID string) *clientStream {
 	t.Helper()
-	s := open(t.Context(), t, f.Router(entry).URL, prefix, "", streamTokens)
+	s := open(t.Context(), t, f.Router(entry).URL, requestID, "", streamTokens)
 	assert.Equal(t, s.status, http.StatusOK)
 	assert.Assert(t, s.next(t))
 	return s
@@ -180,10 +179,17 @@
 func starts(f *fleettester.Fleet, requestID string) int {
 	sum := 0
 	for i := range f.Engines {
-		for id, n := range f.EngineAt(i).Counters().Starts {
-			if strings.Contains(id, "/"+requestID+"/") {
-				sum += n
-			}
+		sum += startsAt(f, i, requestID)
+	}
+	return sum
+}
+
+// startsAt returns how often one engine started the request.
+func startsAt(f *fleettester.Fleet, engine int, requestID string) int {
+	sum := 0
+	for id, n := range f.EngineAt(engine).Counters().Starts {
+		if strings.Contains(id, "/"+requestID+"/") {
+			sum += n
 		}
 	}
 	return sum
--- /dev/null
+++ b/router/store_failure_test.go
@@ -0,0 +1,69 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale/fleettester"
+	"github.com/bergamotdale/bergamotdale/injector"
+)
+
+// Guards against a store outage that stops chats, and against a call that may
+// not be repeated being sent, or its client kept waiting, without a recorded
+// intent (I3, I4).
+func TestStoreOutage(t *testing.T) {
+	fleet := start(t, &fleettester.Fleet{Routers: 3, Engines: 4, Services: 2})
+	confirm := func(entry int, key string) (*http.Response, string) {
+		return post(t, fleet.Router(entry).URL+"/v1/services/"+fleettester.ServiceName+"/"+fleettester.CallConfirm,
+			map[string]string{"X-Bergamotdale-Workspace": fleettester.Workspace, "Idempotency-Key": key}, `{"dock":1}`)
+	}
+	assert.NilError(t, fleettester.Await(t.Context(), func() bool {
+		response, _ := confirm(0, "before")
+		return response.StatusCode == http.StatusOK
+	}))
+	outage := fleet.PlatformFaults().Add(injector.Fault{Kind: injector.Outage})
+
+	begin := time.Now()
+	refused := 0
+	for i := 0; time.Since(begin) < 13*time.Second; i++ {
+		// Longer than the leases of the routers (10 s).
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":2,"messages":[{"role":"user","content":"outage %d"}]}`, fleettester.Model, i)
+		response, got := post(t, fleet.Router(i%3).URL+"/v1/chat/completions",
+			map[string]string{"X-Bergamotdale-Workspace": fleettester.Workspace}, body)
+		assert.Equal(t, response.StatusCode, http.StatusOK, "after %s: %s", time.Since(begin), got)
+		if i%20 != 0 {
+			continue
+		}
+		key := fmt.Sprintf("during-%d", i)
+		asked := time.Now()
+		response, got = confirm(i%3, key)
+		if response.StatusCode == http.StatusOK {
+			// The outage can begin between the intent and the response.
+			assert.Equal(t, executions(fleet, key), 1)
+			continue
+		}
+		refused++
+		if strings.Contains(got, `"outcome":"not-run"`) {
+			assert.Equal(t, executions(fleet, key), 0, got)
+			assert.Assert(t, response.Header.Get("Retry-After") != "", got)
+		}
+		if time.Since(begin) > 5*time.Second {
+			assert.Assert(t, time.Since(asked) < time.Second, "refused after %s: %s", time.Since(asked), got)
+			assert.Assert(t, strings.Contains(got, `"outcome":"not-run"`), got)
+		}
+	}
+	assert.Assert(t, refused > 0)
+
+	fleet.PlatformFaults().Remove(outage)
+	assert.NilError(t, fleettester.Await(t.Context(), func() bool {
+		response, _ := confirm(1, "after")
+		return response.StatusCode == http.StatusOK
+	}))
+	assert.Equal(t, executions(fleet, "after"), 1)
+	assert.Equal(t, executions(fleet, "before"), 1)
+}
