injector: read the request body before a request is held back

A request to which a drop applied was held forever after its client had gone, because net/http watches for the end of a connection only once the body is read; a test server that waits for its requests then never closed (seen as a 10 minute timeout of TestSilentServer). The body is now read first.

--- a/injector/handler.go
+++ b/injector/handler.go
@@ -1,6 +1,7 @@
 package injector
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -19,6 +20,8 @@
 	CountersPath = "/counters"
 	// SettingsPath is the prefix of paths that change settings of a fake.
 	SettingsPath = "/settings/"
+	// maxBody is above the limits of the servers, in bytes.
+	maxBody = 32 << 20
 )
 
 // exempt reports whether faults don't apply to the path.
@@ -45,6 +48,14 @@
 
 // serve applies the faults to one request.
 func (i *Injector) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	// net/http notices a client that goes away only once the body is read, so
+	// a request that is held back would otherwise be held forever.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	client := r.Context()
 	req, ctx := i.open(client)
 	defer i.close(req)
