--- /dev/null
+++ b/operator/wire.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/loader"
+	pb "github.com/bergamotdale/bergamotdale/operatorpb"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// asProblems returns the problems of a document in their wire form.
+func asProblems(err error) ([]*pb.Problem, bool) {
+	var problems loader.Problems
+	if !errors.As(err, &problems) {
+		return nil, false
+	}
+	wire := make([]*pb.Problem, len(problems))
+	for i, p := range problems {
+		wire[i] = &pb.Problem{
+			File: p.File, Line: int32(p.Line), Column: int32(p.Column),
+			Path: p.Path, Message: p.Message, Expected: p.Expected,
+		}
+	}
+	return wire, true
+}
+
+// Problems returns the problems of a response as an error, or nil.
+func Problems(wire []*pb.Problem) error {
+	if len(wire) == 0 {
+		return nil
+	}
+	problems := make(loader.Problems, len(wire))
+	for i, p := range wire {
+		problems[i] = loader.Problem{
+			File: p.File, Position: loader.Position{Line: int(p.Line), Column: int(p.Column)},
+			Path: p.Path, Message: p.Message, Expected: p.Expected,
+		}
+	}
+	return problems
+}
+
+func wireDifferences(all []validator.Difference) []*pb.Difference {
+	wire := make([]*pb.Difference, len(all))
+	for i, d := range all {
+		wire[i] = &pb.Difference{Path: d.Path, Before: d.Before, After: d.After}
+	}
+	return wire
+}
+
+// Differences returns the differences of a response.
+func Differences(wire []*pb.Difference) []validator.Difference {
+	all := make([]validator.Difference, len(wire))
+	for i, d := range wire {
+		all[i] = validator.Difference{Path: d.Path, Before: d.Before, After: d.After}
+	}
+	return all
+}
+
+func wireChange(c follower.Change) *pb.Change {
+	return &pb.Change{
+		Revision: c.Revision, Author: c.Author, Time: timestamppb.New(c.Time), Comment: c.Comment,
+		Sections: slices.Sorted(maps.Keys(c.Replaced)),
+	}
+}
+
+func wireConflict(e *follower.ConflictError) *pb.Conflict {
+	return &pb.Conflict{
+		InForce: wireChange(e.InForce), BaseKnown: e.BaseKnown,
+		Since: wireDifferences(e.Since), Proposed: wireDifferences(e.Proposed),
+	}
+}
+
+// wireError returns the connect error of a failure. A refusal keeps its
+// message, its outcome and the time after which to retry.
+func wireError(err error) error {
+	var refusal *bergamotdale.Refusal
+	switch {
+	case errors.Is(err, errors.NotFound):
+		return connect.NewError(connect.CodeNotFound, err)
+	case !errors.As(err, &refusal):
+		return connect.NewError(connect.CodeInternal, err)
+	}
+	code := connect.CodeUnavailable
+	switch {
+	case refusal.Outcome == bergamotdale.OutcomeUnknown:
+		// Not Unavailable, which invites clients to repeat the call.
+		code = connect.CodeUnknown
+	case refusal.Code.HTTPStatus() < 500 && refusal.Code.HTTPStatus() != 429:
+		code = connect.CodeInvalidArgument
+	}
+	e := connect.NewError(code, errors.Errorf("%s (outcome %s)", refusal.Message, refusal.Outcome))
+	if refusal.RetryAfter > 0 {
+		e.Meta().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	return e
+}
--- a/validator/document.go
+++ b/validator/document.go
@@ -126,12 +126,31 @@
 	d.Limits.SetDefaults()
 }
 
+// Rule is a check beyond those that every document must pass. It reports to
+// the source.
+type Rule func(*Document, *loader.Source)
+
+// StreamsEndBefore returns the rule that the longest accepted stream ends
+// within the drain deadline of a router, so that a planned stop interrupts
+// none (D13).
+func StreamsEndBefore(drainDeadline time.Duration) Rule {
+	return func(d *Document, src *loader.Source) {
+		if d.Limits.MaxStreamDuration >= drainDeadline {
+			src.Report(loader.At("limits", "max-stream-duration"), "less than the drain-deadline of the routers, "+drainDeadline.String(),
+				"a stream of %s could outlive a planned stop", d.Limits.MaxStreamDuration)
+		}
+	}
+}
+
 // Parse reads a document strictly. The error holds all loader.Problems.
-func Parse(file string, data []byte) (*Document, error) {
+func Parse(file string, data []byte, rules ...Rule) (*Document, error) {
 	src := loader.Parse(file, data)
 	d := &Document{}
 	src.Decode(d)
 	check(d, src)
+	for _, rule := range rules {
+		rule(d, src)
+	}
 	if err := src.Err(); err != nil {
 		return nil, err
 	}
