committer: optional burst of writes

Cause: a lone call takes 215 ms at the median, because its response waits for the interval that its intent started.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -101,6 +101,10 @@
 	Lifetime time.Duration
 	// Interval is the least average time between two writes.
 	Interval time.Duration
+	// Burst is the number of writes that may follow each other without the
+	// interval after a pause of as many intervals. With 2, intent and response
+	// of a lone call are both committed at once.
+	Burst int
 	// SegmentBytes is the size above which the open segment is sealed.
 	SegmentBytes int
 	// StoreTimeout bounds each call of the store, and with it the time that a
@@ -138,6 +142,7 @@
 func (s Settings) withDefaults() Settings {
 	s.Lifetime = orDefault(s.Lifetime, DefaultLifetime)
 	s.Interval = orDefault(s.Interval, MinInterval)
+	s.Burst = orDefault(s.Burst, 1)
 	s.SegmentBytes = orDefault(s.SegmentBytes, DefaultSegmentBytes)
 	s.StoreTimeout = orDefault(s.StoreTimeout, DefaultStoreTimeout)
 	s.CallTimeout = orDefault(s.CallTimeout, DefaultCallTimeout)
--- a/committer/loop.go
+++ b/committer/loop.go
@@ -92,11 +92,12 @@
 	return s.down
 }
 
-// charge accounts for a write under the interval.
+// charge accounts for a write under the interval and the burst.
 func (s *Shard) charge() {
-	now := s.settings.Clock.Now()
-	if s.notBefore.Before(now) {
-		s.notBefore = now
+	saved := time.Duration(s.settings.Burst-1) * s.settings.Interval
+	earliest := s.settings.Clock.Now().Add(-saved)
+	if s.notBefore.Before(earliest) {
+		s.notBefore = earliest
 	}
 	s.notBefore = s.notBefore.Add(s.settings.Interval)
 }
