--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -1,29 +1,25 @@
 package quarantiner
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
+// fingerprintBytes makes a chance match implausible at the target rate.
+const fingerprintBytes = 16
+
 // Fingerprint identifies requests that are the same work.
 type Fingerprint string
 
-// FingerprintOf returns the hash of workspace, model and body.
+// FingerprintOf returns the hash of workspace, model and body. It is
+// cryptographic, so that a client cannot get another client's request refused.
 func FingerprintOf(workspace, model string, body []byte) Fingerprint {
-	// Two differently seeded 64-bit hashes; 64 bits alone would make a chance
-	// match of a refused fingerprint plausible at the target rate.
-	prefix := fmt.Appendf(nil, "%d:%s%d:%s", len(workspace), workspace, len(model), model)
-	var sum []byte
-	for seed := range uint64(2) {
-		h := xxhash.NewWithSeed(seed)
-		_, _ = h.Write(prefix)
-		_, _ = h.Write(body)
-		sum = h.Sum(sum)
-	}
-	return Fingerprint(hex.EncodeToString(sum))
+	h := sha256.New()
+	h.Write(fmt.Appendf(nil, "%d:%s%d:%s", len(workspace), workspace, len(model), model))
+	h.Write(body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
 // Count is what one router knows about the crashes of a fingerprint. Counts
