--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -88,8 +88,8 @@
 //
 // With one suspect among them only that one is counted. Without a suspect all
 // become suspects. With several, which MayRun prevents except while counts are
-// under way by gossip, the crash tells nothing about any single one: all
-// suspects stay what they are and nobody new becomes one.
+// under way by gossip, those with the most crashes are counted: the request that
+// crashes every endpoint is among them, and an innocent one only by chance.
 func (q *Quarantiner) Crash(now time.Time, running []Fingerprint) []Count {
 	running = slices.Compact(slices.Sorted(slices.Values(running)))
 	var suspects []Fingerprint
@@ -98,14 +98,19 @@
 			suspects = append(suspects, f)
 		}
 	}
-	switch len(suspects) {
-	case 0:
+	if len(suspects) == 0 {
 		return q.count(now, running)
-	case 1:
-		return q.count(now, suspects)
-	default:
-		return nil
 	}
+	return q.count(now, q.mostSuspect(now, suspects))
+}
+
+// mostSuspect returns the suspects with the most open crashes.
+func (q *Quarantiner) mostSuspect(now time.Time, suspects []Fingerprint) []Fingerprint {
+	highest := 0
+	for _, f := range suspects {
+		highest = max(highest, q.Crashes(now, f))
+	}
+	return slices.DeleteFunc(suspects, func(f Fingerprint) bool { return q.Crashes(now, f) < highest })
 }
 
 func (q *Quarantiner) count(now time.Time, all []Fingerprint) []Count {
--- a/responder/completion.go
+++ b/responder/completion.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/quarantiner"
 )
 
 // Identity holds the headers that every client request may carry. It is
@@ -110,7 +111,7 @@
 		Chat:          chat,
 		PriorityClass: class,
 		Model:         body.Model,
-		Fingerprint:   fingerprint(grant.Workspace, body.Model, string(in.RawBody)),
+		Fingerprint:   string(quarantiner.FingerprintOf(grant.Workspace, body.Model, in.RawBody)),
 		Body:          in.RawBody,
 		PromptTokens:  max(1, len(in.RawBody)/bytesPerToken),
 		MaxTokens:     body.maxTokens(),
