router: operators' RPC, status, explain and timeline

Cause: operators need to see what a router believes and why. Ruled out: load and override of other owners' engines in explain; only their owners know them, and a question of an operator should not ask the fleet. Change: Reporter and Explainer over the view; events served to peers; HTTP/2 without TLS for gRPC clients.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -324,6 +324,7 @@
 	return Load{
 		Endpoint: a.assignment.Name,
 		Load:     a.queue.Load(),
+		Running:  a.queue.Running(),
 		Limit:    a.ownership.Limit(a.limit.Limit()),
 		Epoch:    a.assignment.Epoch,
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -204,9 +204,10 @@
 type Load struct {
 	Endpoint string
 	// Load is the number of requests that run or wait.
-	Load  int
-	Limit int
-	Epoch int64
+	Load    int
+	Running int
+	Limit   int
+	Epoch   int64
 }
 
 // Report returns the loads of the owned engines, by name.
--- a/fleettester/engine.go
+++ b/fleettester/engine.go
@@ -53,21 +53,24 @@
 
 // run serves until the context is done, with a restart after each crash.
 func (e *Engine) run(ctx context.Context, listener net.Listener) error {
-	for {
-		runCtx, cancel := context.WithCancel(ctx)
-		server := e.replace(listener, cancel)
-		err := server.Run(runCtx)
-		cancel()
-		if ctx.Err() != nil {
-			return nil
-		}
-		e.logger.Info("engine restarts", zap.String("endpoint", e.Name), zap.Error(err))
-		if bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, restartDelay) != nil {
-			return nil
-		}
-		if listener, err = net.Listen("tcp", e.Address); err != nil {
+	e.serve(ctx, listener)
+	for bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, restartDelay) == nil {
+		e.logger.Info("engine restarts", zap.String("endpoint", e.Name))
+		again, err := net.Listen("tcp", e.Address)
+		if err != nil {
 			return errors.Trace(err)
 		}
+		e.serve(ctx, again)
+	}
+	return nil
+}
+
+// serve runs one incarnation of the engine to its end.
+func (e *Engine) serve(ctx context.Context, listener net.Listener) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := e.replace(listener, cancel).Run(ctx); err != nil {
+		e.logger.Info("engine ended", zap.String("endpoint", e.Name), zap.Error(err))
 	}
 }
 
--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/platformclient"
 	"github.com/bergamotdale/bergamotdale/platformserver"
+	"github.com/bergamotdale/bergamotdale/recorder"
 	"github.com/bergamotdale/bergamotdale/router"
 	"github.com/bergamotdale/bergamotdale/serviceserver"
 	"github.com/bergamotdale/bergamotdale/validator"
@@ -64,6 +65,8 @@
 	// URL is the base URL for clients.
 	URL      string
 	Settings *loader.Settings
+	// Events is the timeline of the router.
+	Events *recorder.Ring
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -177,6 +180,7 @@
 		Name:     settings.ID,
 		URL:      "http://" + settings.Listen.Clients,
 		Settings: settings,
+		Events:   &recorder.Ring{Process: settings.ID, Clock: bergamotdale.SystemClock{}},
 		stop:     cancel,
 		done:     make(chan struct{}),
 	}
@@ -190,7 +194,7 @@
 		Settings:  settings,
 		Logger:    f.Logger.Named(settings.ID),
 		Listeners: listeners,
-		Adapters:  router.NewAdapters(settings, discard{}, f.Logger),
+		Adapters:  router.NewAdapters(settings, r.Events),
 	}
 	go func() {
 		defer close(r.done)
--- a/router/adapters.go
+++ b/router/adapters.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/samber/do/v2"
-	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/engineclient"
@@ -14,7 +13,7 @@
 
 // NewAdapters returns the ports of a router process. Tests replace single ones
 // with do.Override.
-func NewAdapters(settings *loader.Settings, recorder bergamotdale.Recorder, _ *zap.Logger) do.Injector {
+func NewAdapters(settings *loader.Settings, recorder bergamotdale.Recorder) do.Injector {
 	i := do.New()
 	do.ProvideValue[bergamotdale.Clock](i, bergamotdale.SystemClock{})
 	do.ProvideValue[bergamotdale.Recorder](i, recorder)
--- a/router/peers.go
+++ b/router/peers.go
@@ -13,7 +13,9 @@
 	"github.com/bergamotdale/bergamotdale/follower"
 	"github.com/bergamotdale/bergamotdale/forwarder"
 	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/operator"
 	"github.com/bergamotdale/bergamotdale/peerclient"
+	"github.com/bergamotdale/bergamotdale/recorder"
 	"github.com/bergamotdale/bergamotdale/sharder"
 )
 
@@ -46,6 +48,9 @@
 	})
 	handle(api, limit, "commit", r.handleCommit)
 	mux.HandleFunc("POST "+peerclient.BasePath+"forward", r.handleForward)
+	if ring, ok := r.recorder.(*recorder.Ring); ok {
+		mux.Handle("GET "+operator.EventsPath, ring.Handler())
+	}
 	return mux
 }
 
--- a/router/server.go
+++ b/router/server.go
@@ -62,6 +62,10 @@
 			return nil, errors.Annotatef(err, "listening for %s", name)
 		}
 	}
+	// gRPC clients of the operators' interface need HTTP/2 without TLS.
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &server{
 		name:     name,
 		listener: listener,
@@ -70,6 +74,7 @@
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
+			Protocols:         protocols,
 			ErrorLog:          zap.NewStdLog(r.Logger.Named(name)),
 		},
 	}, nil
@@ -120,8 +125,3 @@
 		s.logger.Warn("server closed with open requests", zap.String("server", s.name), zap.Error(err))
 	}
 }
-
-// operatorHandler serves operators.
-func (r *Router) operatorHandler() http.Handler {
-	return http.NewServeMux()
-}
