--- a/engineserver/cache.go
+++ b/enginecacher/cacher.go
@@ -1,4 +1,6 @@
-package engineserver
+// Package enginecacher is the prefix cache of a fake engine: message prefixes
+// in limited memory, with events and an exported form.
+package enginecacher
 
 import (
 	"container/list"
@@ -11,14 +13,14 @@
 // maxEvents is the number of cache events kept.
 const maxEvents = 4096
 
-// cache holds message prefixes and evicts the least recently used one.
-type cache struct {
+// Cacher holds message prefixes and evicts the least recently used one.
+type Cacher struct {
 	capacity int
 	eventLag time.Duration
 	eventGap int64
 
 	mu sync.Mutex
-	// order holds *cached, most recently used first. A prefix is used after
+	// order holds Prefix, most recently used first. A prefix is used after
 	// the longer ones that contain it, so it is evicted after them.
 	order    *list.List
 	byHash   map[string]*list.Element
@@ -27,55 +29,47 @@
 	events   []timedEvent
 }
 
-// cached is a prefix in the cache and in its exported form.
-type cached struct {
-	Prefix string `json:"prefix"`
-	// Parent is the prefix without the last message.
-	Parent string `json:"parent"`
-	// Tokens is the length of the last message, Total that of the prefix.
-	Tokens int `json:"tokens"`
-	Total  int `json:"total"`
-}
-
 type timedEvent struct {
 	at    time.Time
 	event bergamotdale.CacheEvent
 }
 
-func newCache(capacity int, eventLag time.Duration, eventGap int64) *cache {
-	return &cache{
+// New returns an empty cache. Events can be read after eventLag; those whose
+// sequence number eventGap divides are lost, unless it is zero.
+func New(capacity int, eventLag time.Duration, eventGap int64) *Cacher {
+	return &Cacher{
 		capacity: capacity, eventLag: eventLag, eventGap: eventGap,
 		order: list.New(), byHash: map[string]*list.Element{},
 	}
 }
 
-// lookup returns the length of the longest cached prefix.
-func (c *cache) lookup(prefixes []prefix) int {
+// Lookup returns the length of the longest cached prefix.
+func (c *Cacher) Lookup(prefixes []Prefix) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	total := 0
 	for _, p := range prefixes {
-		if _, ok := c.byHash[p.hash]; !ok {
+		if _, ok := c.byHash[p.Hash]; !ok {
 			break
 		}
-		total = p.total
+		total = p.Total
 	}
 	return total
 }
 
-// insert adds the prefixes and marks them as used.
-func (c *cache) insert(prefixes []prefix) {
+// Insert adds the prefixes and marks them as used.
+func (c *Cacher) Insert(prefixes []Prefix) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n := len(prefixes) - 1; n >= 0; n-- {
 		p := prefixes[n]
-		c.use(cached{p.hash, p.parent, p.tokens, p.total})
+		c.use(p)
 	}
 	c.evict()
 }
 
-// restore adds exported prefixes.
-func (c *cache) restore(all []cached) {
+// Import adds exported prefixes.
+func (c *Cacher) Import(all []Prefix) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range all {
@@ -84,65 +78,65 @@
 	c.evict()
 }
 
-// export returns all cached prefixes, least recently used first, which is the
-// order that restore needs.
-func (c *cache) export() []cached {
+// Export returns all cached prefixes, least recently used first, which is the
+// order that Import needs.
+func (c *Cacher) Export() []Prefix {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := make([]cached, 0, c.order.Len())
+	all := make([]Prefix, 0, c.order.Len())
 	for e := c.order.Back(); e != nil; e = e.Prev() {
-		all = append(all, e.Value.(cached))
+		all = append(all, e.Value.(Prefix))
 	}
 	return all
 }
 
-// exportPrefix returns the prefix and those that it contains, longest first.
-func (c *cache) exportPrefix(hash string) []cached {
+// ExportPrefix returns the prefix and those that it contains, longest first.
+func (c *Cacher) ExportPrefix(hash string) []Prefix {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	chain := []cached{}
+	chain := []Prefix{}
 	for e, ok := c.byHash[hash]; ok; e, ok = c.byHash[hash] {
-		chain = append(chain, e.Value.(cached))
-		hash = e.Value.(cached).Parent
+		chain = append(chain, e.Value.(Prefix))
+		hash = e.Value.(Prefix).Parent
 	}
 	return chain
 }
 
-func (c *cache) use(e cached) {
-	if at, ok := c.byHash[e.Prefix]; ok {
+func (c *Cacher) use(e Prefix) {
+	if at, ok := c.byHash[e.Hash]; ok {
 		c.order.MoveToFront(at)
 		return
 	}
-	c.byHash[e.Prefix] = c.order.PushFront(e)
+	c.byHash[e.Hash] = c.order.PushFront(e)
 	c.tokens += e.Tokens
 	c.record(e, false)
 }
 
-func (c *cache) evict() {
+func (c *Cacher) evict() {
 	for c.tokens > c.capacity {
 		last := c.order.Back()
-		e := c.order.Remove(last).(cached)
-		delete(c.byHash, e.Prefix)
+		e := c.order.Remove(last).(Prefix)
+		delete(c.byHash, e.Hash)
 		c.tokens -= e.Tokens
 		c.record(e, true)
 	}
 }
 
-func (c *cache) record(e cached, evicted bool) {
+func (c *Cacher) record(e Prefix, evicted bool) {
 	c.sequence++
 	if c.eventGap > 0 && c.sequence%c.eventGap == 0 {
 		return
 	}
-	event := bergamotdale.CacheEvent{Sequence: c.sequence, Prefix: e.Prefix, Tokens: e.Total, Evicted: evicted}
+	event := bergamotdale.CacheEvent{Sequence: c.sequence, Prefix: e.Hash, Tokens: e.Total, Evicted: evicted}
 	c.events = append(c.events, timedEvent{time.Now(), event})
 	if len(c.events) > maxEvents {
 		c.events = c.events[len(c.events)-maxEvents:]
 	}
 }
 
-// eventsAfter returns the events after the sequence number that are old
+// EventsAfter returns the events after the sequence number that are old
 // enough to be seen.
-func (c *cache) eventsAfter(after int64, now time.Time) []bergamotdale.CacheEvent {
+func (c *Cacher) EventsAfter(after int64, now time.Time) []bergamotdale.CacheEvent {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := []bergamotdale.CacheEvent{}
@@ -154,7 +148,8 @@
 	return found
 }
 
-func (c *cache) size() int {
+// Size returns the tokens in the cache.
+func (c *Cacher) Size() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.tokens
--- a/engineclient/engineclient_test.go
+++ b/engineclient/engineclient_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/engineclient"
+	"github.com/bergamotdale/bergamotdale/enginegenerator"
 	"github.com/bergamotdale/bergamotdale/engineserver"
 )
 
@@ -44,7 +45,7 @@
 	whole, end := read(t, s)
 	assert.Equal(t, len(whole), 20)
 	assert.Equal(t, end.Length, 20)
-	assert.Equal(t, end.Checksum, engineserver.Checksum(strings.Join(whole, "")))
+	assert.Equal(t, end.Checksum, enginegenerator.Checksum(strings.Join(whole, "")))
 	s, err = c.Complete(ctx, b, bergamotdale.EngineRequest{RequestID: "1", Body: json.RawMessage(body), ResumeFrom: 7, Priority: 2})
 	assert.NilError(t, err)
 	rest, end2 := read(t, s)
--- a/engineserver/output.go
+++ b/enginegenerator/output.go
@@ -1,4 +1,4 @@
-package engineserver
+package enginegenerator
 
 import (
 	"bytes"
@@ -11,17 +11,51 @@
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 // finishLength is the finish_reason of a response that has max_tokens tokens.
 const finishLength = "length"
 
+// Output receives the response while it is generated.
+type Output interface {
+	// Heartbeat shows that the request is alive.
+	Heartbeat() error
+	// Data receives tokens; offset is the number of tokens before them.
+	Data(offset int, tokens []string) error
+	// End completes the response.
+	End(u Usage)
+	// Fail ends the response early.
+	Fail(r *bergamotdale.Refusal)
+}
+
+// Usage is the usage object of the API.
+type Usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	Details          UsageDetails `json:"prompt_tokens_details"`
+}
+
+// UsageDetails is the part of the prompt that was cached.
+type UsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// NewOutput returns the output that the request asks for. The name of the
+// engine becomes part of the response.
+func NewOutput(w http.ResponseWriter, engine string, r *Request) Output {
+	if r.Stream {
+		return newEventStream(w, engine, r)
+	}
+	return &plain{w: w, engine: engine, req: r}
+}
+
 // plain collects a response without a stream.
 type plain struct {
 	w      http.ResponseWriter
-	server *Server
-	req    *chatRequest
+	engine string
+	req    *Request
 }
 
 // completion is the response object of the API.
@@ -32,7 +66,7 @@
 	Model   string   `json:"model"`
 	Engine  string   `json:"engine,omitempty"`
 	Choices []choice `json:"choices"`
-	Usage   usage    `json:"usage"`
+	Usage   Usage    `json:"usage"`
 }
 
 type choice struct {
@@ -46,20 +80,20 @@
 	Content string `json:"content"`
 }
 
-func (p *plain) heartbeat() error { return nil }
+func (p *plain) Heartbeat() error { return nil }
 
-func (p *plain) data(int, []string) error { return nil }
+func (p *plain) Data(int, []string) error { return nil }
 
-func (p *plain) end(u usage) {
-	injector.WriteJSON(p.w, http.StatusOK, completion{
-		ID: "chatcmpl-" + p.req.id, Object: "chat.completion", Created: time.Now().Unix(),
-		Model: p.req.Model, Engine: p.server.Name, Usage: u,
-		Choices: []choice{{Message: message{"assistant", p.req.text()}, FinishReason: finishLength}},
+func (p *plain) End(u Usage) {
+	responder.JSON(p.w, http.StatusOK, completion{
+		ID: "chatcmpl-" + p.req.ID, Object: "chat.completion", Created: time.Now().Unix(),
+		Model: p.req.Model, Engine: p.engine, Usage: u,
+		Choices: []choice{{Message: message{"assistant", p.req.Text()}, FinishReason: finishLength}},
 	})
 }
 
-func (p *plain) fail(r *bergamotdale.Refusal) {
-	injector.WriteRefusal(p.w, r)
+func (p *plain) Fail(r *bergamotdale.Refusal) {
+	responder.Refusal(p.w, r)
 }
 
 // eventStream writes a response as server-sent events. The id of an event is
@@ -68,32 +102,32 @@
 type eventStream struct {
 	w    http.ResponseWriter
 	ctl  *http.ResponseController
-	req  *chatRequest
+	req  *Request
 	head string
 	buf  bytes.Buffer
 }
 
 // newEventStream sends the headers, so that the client knows at once that the
 // request was accepted.
-func newEventStream(w http.ResponseWriter, s *Server, req *chatRequest) *eventStream {
+func newEventStream(w http.ResponseWriter, engine string, req *Request) *eventStream {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	e := &eventStream{w: w, ctl: http.NewResponseController(w), req: req}
-	id, _ := json.Marshal("chatcmpl-" + req.id)
+	id, _ := json.Marshal("chatcmpl-" + req.ID)
 	model, _ := json.Marshal(req.Model)
-	engine, _ := json.Marshal(s.Name)
+	name, _ := json.Marshal(engine)
 	e.head = fmt.Sprintf(`{"id":%s,"object":"chat.completion.chunk","created":%d,"model":%s,"engine":%s,`,
-		id, time.Now().Unix(), model, engine)
-	_ = e.heartbeat()
+		id, time.Now().Unix(), model, name)
+	_ = e.Heartbeat()
 	return e
 }
 
-func (e *eventStream) heartbeat() error {
+func (e *eventStream) Heartbeat() error {
 	e.buf.WriteString(": heartbeat\n\n")
 	return e.flush()
 }
 
-func (e *eventStream) data(offset int, tokens []string) error {
+func (e *eventStream) Data(offset int, tokens []string) error {
 	for n, t := range tokens {
 		role := ""
 		if offset+n == 0 {
@@ -105,20 +139,20 @@
 	return e.flush()
 }
 
-func (e *eventStream) end(u usage) {
+func (e *eventStream) End(u Usage) {
 	fmt.Fprintf(&e.buf, "data: %s\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":%q}]}\n\n", e.head, finishLength)
 	if e.req.StreamOptions.IncludeUsage {
 		encoded, _ := json.Marshal(u)
-		fmt.Fprintf(&e.buf, "data: %s\"choices\":[],\"checksum\":%q,\"usage\":%s}\n\n", e.head, Checksum(e.req.text()), encoded)
+		fmt.Fprintf(&e.buf, "data: %s\"choices\":[],\"checksum\":%q,\"usage\":%s}\n\n", e.head, Checksum(e.req.Text()), encoded)
 	}
 	e.buf.WriteString("data: [DONE]\n\n")
 	_ = e.flush()
 }
 
-func (e *eventStream) fail(r *bergamotdale.Refusal) {
-	encoded, _ := json.Marshal(bergamotdale.WireRefusal{
-		Code: r.Code, Name: r.Code.String(), Message: r.Message, Outcome: r.Outcome, RequestID: e.req.id,
-	})
+func (e *eventStream) Fail(r *bergamotdale.Refusal) {
+	wire := responder.Wire(r)
+	wire.RequestID = e.req.ID
+	encoded, _ := json.Marshal(wire)
 	fmt.Fprintf(&e.buf, "data: {\"error\":%s}\n\n", encoded)
 	_ = e.flush()
 }
--- a/engineserver/request.go
+++ b/enginegenerator/request.go
@@ -1,27 +1,27 @@
-package engineserver
+// Package enginegenerator is the chat completions API of a fake engine: it
+// parses requests, generates tokens that depend only on the request body, and
+// writes responses as server-sent events or as one JSON document.
+package enginegenerator
 
 import (
 	"encoding/json"
-	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/enginecacher"
 )
 
 const (
 	// defaultMaxTokens is the length of a response to a body without one.
 	defaultMaxTokens = 16
-	// charsPerToken is the usual mean of English text.
-	charsPerToken = 4
-	// messageOverhead is the number of tokens that mark a message.
-	messageOverhead = 4
 )
 
-// chatRequest holds the fields of a body that the engine uses.
-type chatRequest struct {
+// Request holds the fields of a body that the engine uses.
+type Request struct {
 	Model               string                     `json:"model"`
 	Messages            []bergamotdale.ChatMessage `json:"messages"`
 	MaxTokens           *int                       `json:"max_tokens"`
@@ -33,22 +33,23 @@
 	Priority   int `json:"priority"`
 	ResumeFrom int `json:"resume_from"`
 
-	// id is the X-Request-Id header.
-	id string
+	// ID is the X-Request-Id header.
+	ID string `json:"-"`
 	// seed determines the generated tokens.
 	seed uint64
-	// length is the number of tokens of the whole response.
-	length int
-	// prefixes are the message prefixes, shortest first.
-	prefixes []prefix
-	body     []byte
+	// Length is the number of tokens of the whole response.
+	Length int `json:"-"`
+	// Prefixes are the message prefixes, shortest first.
+	Prefixes []enginecacher.Prefix `json:"-"`
+	Body     []byte                `json:"-"`
 }
 
 // controlFields don't change the generated tokens.
 var controlFields = []string{"stream", "stream_options", "priority", "resume_from"}
 
-func parseRequest(id string, body []byte) (*chatRequest, error) {
-	r := &chatRequest{id: id, body: body, length: defaultMaxTokens}
+// Parse parses the body of the request with the id.
+func Parse(id string, body []byte) (*Request, error) {
+	r := &Request{ID: id, Body: body, Length: defaultMaxTokens}
 	if err := json.Unmarshal(body, r); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -56,23 +57,23 @@
 		return nil, errors.New("messages is empty")
 	}
 	if r.MaxTokens != nil {
-		r.length = *r.MaxTokens
+		r.Length = *r.MaxTokens
 	}
 	if r.MaxCompletionTokens != nil {
-		r.length = *r.MaxCompletionTokens
+		r.Length = *r.MaxCompletionTokens
 	}
-	if r.length < 1 {
+	if r.Length < 1 {
 		return nil, errors.New("max_tokens is below 1")
 	}
-	if r.ResumeFrom < 0 || r.ResumeFrom > r.length {
-		return nil, errors.Errorf("resume_from %d is outside of the response of %d tokens", r.ResumeFrom, r.length)
+	if r.ResumeFrom < 0 || r.ResumeFrom > r.Length {
+		return nil, errors.Errorf("resume_from %d is outside of the response of %d tokens", r.ResumeFrom, r.Length)
 	}
 	var err error
 	if r.seed, err = seedOf(body); err != nil {
 		return nil, errors.Trace(err)
 	}
 	for _, m := range r.Messages {
-		r.prefixes = extend(r.Model, r.prefixes, m)
+		r.Prefixes = enginecacher.Extend(r.Model, r.Prefixes, m)
 	}
 	return r, nil
 }
@@ -94,32 +95,9 @@
 	return xxhash.Sum64(canonical), nil
 }
 
-// promptTokens is the length of the prompt.
-func (r *chatRequest) promptTokens() int {
-	return r.prefixes[len(r.prefixes)-1].total
-}
-
-// prefix is a sequence of messages from the start of a chat.
-type prefix struct {
-	// parent is the hash of the prefix without the last message.
-	parent, hash string
-	// tokens is the length of its last message, total that of all of them.
-	tokens, total int
-}
-
-// extend appends the prefix that ends with the message.
-func extend(model string, to []prefix, m bergamotdale.ChatMessage) []prefix {
-	last := prefix{hash: model}
-	if len(to) > 0 {
-		last = to[len(to)-1]
-	}
-	tokens := messageOverhead + len(m.Content)/charsPerToken
-	return append(to, prefix{
-		parent: last.hash,
-		hash:   fmt.Sprintf("%016x", xxhash.Sum64String(last.hash+"\x00"+m.Role+"\x00"+string(m.Content))),
-		tokens: tokens,
-		total:  last.total + tokens,
-	})
+// PromptTokens is the length of the prompt.
+func (r *Request) PromptTokens() int {
+	return r.Prefixes[len(r.Prefixes)-1].Total
 }
 
 var words = []string{
@@ -128,10 +106,19 @@
 	"water", "clean", "dry", "iron", "stack", "load", "lift", "pack",
 }
 
-// token returns the text of the token at the offset.
-func (r *chatRequest) token(offset int) string {
+// Token returns the text of the token at the offset.
+func (r *Request) Token(offset int) string {
 	b := strconv.AppendUint(nil, r.seed, 16)
 	b = append(b, '/')
 	b = strconv.AppendInt(b, int64(offset), 10)
 	return words[xxhash.Sum64(b)%uint64(len(words))] + " "
 }
+
+// Text returns the whole response.
+func (r *Request) Text() string {
+	b := strings.Builder{}
+	for n := range r.Length {
+		b.WriteString(r.Token(n))
+	}
+	return b.String()
+}
--- a/engineserver/control.go
+++ b/engineserver/control.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/enginecacher"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 // setup is what commands change.
@@ -104,17 +105,17 @@
 func (s *Server) command(w http.ResponseWriter, r *http.Request) {
 	c := bergamotdale.Command{}
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
-		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "%v", err))
+		responder.Refusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "%v", err))
 		return
 	}
 	switch c.Kind {
 	case bergamotdale.CommandLoad, bergamotdale.CommandUnload, bergamotdale.CommandRole:
 	default:
-		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest, "unknown command %q", c.Kind))
+		responder.Refusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest, "unknown command %q", c.Kind))
 		return
 	}
 	if !s.setup.apply(c) {
-		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInProgress, "stale fencing token %d", c.FencingToken))
+		responder.Refusal(w, bergamotdale.Refuse(bergamotdale.CodeInProgress, "stale fencing token %d", c.FencingToken))
 		return
 	}
 	s.stats.command()
@@ -123,7 +124,7 @@
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
-	if !s.batch.stop(r.PathValue("id")) {
+	if !s.batch.Cancel(r.PathValue("id")) {
 		http.Error(w, "no such request", http.StatusNotFound)
 		return
 	}
@@ -141,7 +142,7 @@
 	for _, m := range l.Models {
 		data = append(data, model{m, "model"})
 	}
-	injector.WriteJSON(w, http.StatusOK, struct {
+	responder.JSON(w, http.StatusOK, struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{"list", data})
@@ -149,66 +150,31 @@
 
 func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	injector.WriteJSON(w, http.StatusOK, s.cache.eventsAfter(after, time.Now()))
+	responder.JSON(w, http.StatusOK, s.cache.EventsAfter(after, time.Now()))
 }
 
 // exportCache serves the whole cache, or the prefix with the hash.
 func (s *Server) exportCache(w http.ResponseWriter, r *http.Request) {
 	if hash := r.URL.Query().Get("prefix"); hash != "" {
-		injector.WriteJSON(w, http.StatusOK, s.cache.exportPrefix(hash))
+		responder.JSON(w, http.StatusOK, s.cache.ExportPrefix(hash))
 		return
 	}
-	injector.WriteJSON(w, http.StatusOK, s.cache.export())
+	responder.JSON(w, http.StatusOK, s.cache.Export())
 }
 
 func (s *Server) importCache(w http.ResponseWriter, r *http.Request) {
-	var all []cached
+	var all []enginecacher.Prefix
 	if err := json.NewDecoder(r.Body).Decode(&all); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.cache.restore(all)
+	s.cache.Import(all)
 	s.report()
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	injector.WriteJSON(w, http.StatusOK, s.reports.seen(time.Now()))
-}
-
-// reports holds the load over time, oldest first.
-type reports struct {
-	lag time.Duration
-
-	mu  sync.Mutex
-	all []timedLoad
-}
-
-type timedLoad struct {
-	at   time.Time
-	load bergamotdale.EngineLoad
-}
-
-func (r *reports) add(now time.Time, l bergamotdale.EngineLoad) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.all = append(r.all, timedLoad{now, l})
-	r.trim(now)
-}
-
-// trim drops the loads that are older than the newest one that can be seen.
-func (r *reports) trim(now time.Time) {
-	for len(r.all) > 1 && now.Sub(r.all[1].at) >= r.lag {
-		r.all = r.all[1:]
-	}
-}
-
-// seen returns the load as it was before the lag.
-func (r *reports) seen(now time.Time) bergamotdale.EngineLoad {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.trim(now)
-	l := r.all[0].load
-	l.AgeMS = r.lag.Milliseconds()
-	return l
+	l := s.reports.Seen(time.Now(), s.LoadLag)
+	l.AgeMS = s.LoadLag.Milliseconds()
+	responder.JSON(w, http.StatusOK, l)
 }
--- a/engineserver/engineserver.go
+++ b/engineserver/engineserver.go
@@ -12,7 +12,11 @@
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/enginebatcher"
+	"github.com/bergamotdale/bergamotdale/enginecacher"
 	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/lagger"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 const (
@@ -67,9 +71,9 @@
 	Faults *injector.Injector
 
 	once    sync.Once
-	batch   *batch
-	cache   *cache
-	reports *reports
+	batch   *enginebatcher.Batcher
+	cache   *enginecacher.Cacher
+	reports lagger.History[bergamotdale.EngineLoad]
 	setup   *setup
 	stats   *stats
 }
@@ -108,9 +112,9 @@
 	if s.Faults == nil {
 		s.Faults = &injector.Injector{}
 	}
-	s.batch = newBatch(s.Slots, s.MaxQueue)
-	s.cache = newCache(s.CacheTokens, s.CacheEventLag, s.CacheEventGap)
-	s.reports = &reports{lag: s.LoadLag}
+	s.batch = enginebatcher.New(s.Slots, s.MaxQueue)
+	s.cache = enginecacher.New(s.CacheTokens, s.CacheEventLag, s.CacheEventGap)
+	s.reports.MaxLag = s.LoadLag
 	s.setup = newSetup(s.Models, s.Role, s.CheckFencing)
 	s.stats = newStats()
 	s.report()
@@ -126,7 +130,7 @@
 func (s *Server) mux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+injector.CountersPath, func(w http.ResponseWriter, _ *http.Request) {
-		injector.WriteJSON(w, http.StatusOK, s.Counters())
+		responder.JSON(w, http.StatusOK, s.Counters())
 	})
 	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /load", s.load)
@@ -146,7 +150,7 @@
 	if s.setup.draining() {
 		status = "draining"
 	}
-	injector.WriteJSON(w, http.StatusOK, struct {
+	responder.JSON(w, http.StatusOK, struct {
 		Status string `json:"status"`
 	}{status})
 }
@@ -158,14 +162,14 @@
 
 // report records the current load for later reports.
 func (s *Server) report() {
-	running, queued := s.batch.size()
+	running, queued := s.batch.Size()
 	l := bergamotdale.EngineLoad{
 		Running:       running,
 		Queued:        queued,
 		Slots:         s.Slots,
-		CacheTokens:   s.cache.size(),
+		CacheTokens:   s.cache.Size(),
 		CacheCapacity: s.CacheTokens,
 	}
 	s.setup.describe(&l)
-	s.reports.add(time.Now(), l)
+	s.reports.Set(time.Now(), l)
 }
--- a/engineserver/stats.go
+++ b/engineserver/stats.go
@@ -3,6 +3,9 @@
 import (
 	"maps"
 	"sync"
+
+	"github.com/bergamotdale/bergamotdale/enginebatcher"
+	"github.com/bergamotdale/bergamotdale/enginegenerator"
 )
 
 // maxKept is the number of ended requests whose generated tokens are kept.
@@ -42,12 +45,12 @@
 	}
 }
 
-func (s *stats) start(r *chatRequest) {
+func (s *stats) start(r *enginegenerator.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counters.Starts[r.id]++
+	s.counters.Starts[r.ID]++
 	if r.ResumeFrom > 0 {
-		s.counters.Resumes[r.id]++
+		s.counters.Resumes[r.ID]++
 	}
 }
 
@@ -98,12 +101,12 @@
 	return s.lengths[id]
 }
 
-func (s *stats) snapshot(b *batch) Counters {
+func (s *stats) snapshot(b *enginebatcher.Batcher) Counters {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counters
 	c.Starts, c.Resumes = maps.Clone(c.Starts), maps.Clone(c.Resumes)
-	c.Running, c.Queued = b.size()
-	c.MaxRunning, c.MaxInFlight = b.peak()
+	c.Running, c.Queued = b.Size()
+	c.MaxRunning, c.MaxInFlight = b.Peak()
 	return c
 }
--- a/injector/handler.go
+++ b/injector/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 const (
@@ -72,7 +73,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if _, ok := i.take(Refuse, r); ok {
-		WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeEndpointRefused, "refused by an injected fault").After(time.Second))
+		responder.Refusal(w, bergamotdale.Refuse(bergamotdale.CodeEndpointRefused, "refused by an injected fault").After(time.Second))
 		return
 	}
 	if f, ok := i.take(Delay, r); ok {
@@ -145,7 +146,7 @@
 			return
 		}
 		f.ID = i.Add(f)
-		WriteJSON(w, http.StatusOK, f)
+		responder.JSON(w, http.StatusOK, f)
 	case http.MethodDelete:
 		id, err := strconv.ParseInt(r.URL.Query().Get("id"), 10, 64)
 		if err != nil {
@@ -153,37 +154,12 @@
 		} else {
 			i.Remove(id)
 		}
-		WriteJSON(w, http.StatusOK, i.Faults())
+		responder.JSON(w, http.StatusOK, i.Faults())
 	default:
-		WriteJSON(w, http.StatusOK, i.Faults())
+		responder.JSON(w, http.StatusOK, i.Faults())
 	}
 }
 
-// WriteJSON writes a JSON response. A fake has nobody to report a failed
-// write to: its client sees the cut connection.
-func WriteJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-// errorBody is the JSON of a refusal by a fake endpoint.
-type errorBody struct {
-	Error bergamotdale.WireRefusal `json:"error"`
-}
-
-// WriteRefusal writes a refusal as an endpoint sends it.
-func WriteRefusal(w http.ResponseWriter, r *bergamotdale.Refusal) {
-	if r.RetryAfter > 0 {
-		seconds := (r.RetryAfter + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
-	}
-	WriteJSON(w, r.Code.HTTPStatus(), errorBody{bergamotdale.WireRefusal{
-		Code: r.Code, Name: r.Code.String(), Message: r.Message, Outcome: r.Outcome,
-		RetryAfterMS: r.RetryAfter.Milliseconds(),
-	}})
-}
-
 // writer applies the faults to a response while it is written.
 type writer struct {
 	w        http.ResponseWriter
--- a/platformserver/handler.go
+++ b/kvserver/handler.go
@@ -1,4 +1,11 @@
-package platformserver
+// Package kvserver is a fake of a key-value store that speaks the HTTP API of
+// Consul as published: KV with cas and acquire, transactions of one write,
+// blocking queries, and sessions with a TTL and delete behaviour. It keeps
+// everything in memory.
+//
+// Where it is simpler than Consul: a session ends exactly when its TTL has
+// passed, there is no lock delay, and TTLs below 10 s are accepted.
+package kvserver
 
 import (
 	"encoding/json"
@@ -7,9 +14,7 @@
 	"strconv"
 	"time"
 
-	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/injector"
-	"github.com/bergamotdale/bergamotdale/requester"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 const (
@@ -20,6 +25,34 @@
 	maxWait     = 10 * time.Minute
 )
 
+// maxValue is the longest value of a key, in bytes.
+const maxValue = 1 << 20
+
+// Server is a key-value store. New makes one.
+type Server struct {
+	store *store
+	mux   *http.ServeMux
+}
+
+// New returns an empty store.
+func New() *Server {
+	s := &Server{store: newStore(), mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/kv/{key...}", s.read)
+	s.mux.HandleFunc("PUT /v1/kv/{key...}", s.write)
+	s.mux.HandleFunc("DELETE /v1/kv/{key...}", s.delete)
+	s.mux.HandleFunc("PUT /v1/txn", s.txn)
+	s.mux.HandleFunc("PUT /v1/session/create", s.createSession)
+	s.mux.HandleFunc("PUT /v1/session/renew/{id}", s.renewSession)
+	s.mux.HandleFunc("PUT /v1/session/destroy/{id}", s.destroySession)
+	s.mux.HandleFunc("GET /v1/session/info/{id}", s.sessionInfo)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
 // read serves GET of a key or prefix, blocking if an index is given.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
@@ -63,10 +96,10 @@
 		for _, e := range found {
 			keys = append(keys, e.Key)
 		}
-		injector.WriteJSON(w, http.StatusOK, keys)
+		responder.JSON(w, http.StatusOK, keys)
 		return
 	}
-	injector.WriteJSON(w, http.StatusOK, found)
+	responder.JSON(w, http.StatusOK, found)
 }
 
 // write serves PUT of a key with at most one of cas, acquire and release.
@@ -93,12 +126,12 @@
 			http.Error(w, "invalid session "+strconv.Quote(q.Get("acquire")), http.StatusInternalServerError)
 			return
 		}
-		injector.WriteJSON(w, http.StatusOK, acquired)
+		responder.JSON(w, http.StatusOK, acquired)
 	case q.Has("release"):
-		injector.WriteJSON(w, http.StatusOK, s.store.release(key, value, flags, q.Get("release")))
+		responder.JSON(w, http.StatusOK, s.store.release(key, value, flags, q.Get("release")))
 	default:
 		_, written := s.store.put(key, value, flags, holds)
-		injector.WriteJSON(w, http.StatusOK, written)
+		responder.JSON(w, http.StatusOK, written)
 	}
 }
 
@@ -106,7 +139,7 @@
 	q, key := r.URL.Query(), r.PathValue("key")
 	if q.Has("recurse") {
 		s.store.removePrefix(key)
-		injector.WriteJSON(w, http.StatusOK, true)
+		responder.JSON(w, http.StatusOK, true)
 		return
 	}
 	holds, err := casCondition(q.Get("cas"))
@@ -114,7 +147,7 @@
 		http.Error(w, "Invalid cas", http.StatusBadRequest)
 		return
 	}
-	injector.WriteJSON(w, http.StatusOK, s.store.remove(key, holds))
+	responder.JSON(w, http.StatusOK, s.store.remove(key, holds))
 }
 
 // txnOp is one operation of a transaction.
@@ -167,11 +200,11 @@
 	e, ok := s.store.put(op.Key, op.Value, op.Flags, holds)
 	if !ok {
 		stale := txnError{What: "failed to set key " + strconv.Quote(op.Key) + ", index is stale"}
-		injector.WriteJSON(w, http.StatusConflict, txnResult{Errors: []txnError{stale}})
+		responder.JSON(w, http.StatusConflict, txnResult{Errors: []txnError{stale}})
 		return
 	}
 	e.Value = nil
-	injector.WriteJSON(w, http.StatusOK, txnResult{Results: []txnEntry{{e}}})
+	responder.JSON(w, http.StatusOK, txnResult{Results: []txnEntry{{e}}})
 }
 
 // unconditional is the precondition of a plain write.
@@ -215,7 +248,7 @@
 		v.Behavior = "release"
 	}
 	id := s.store.createSession(v, ttl)
-	injector.WriteJSON(w, http.StatusOK, struct{ ID string }{id})
+	responder.JSON(w, http.StatusOK, struct{ ID string }{id})
 }
 
 func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
@@ -224,12 +257,12 @@
 		http.Error(w, "Session id not found", http.StatusNotFound)
 		return
 	}
-	injector.WriteJSON(w, http.StatusOK, []session{v})
+	responder.JSON(w, http.StatusOK, []session{v})
 }
 
 func (s *Server) destroySession(w http.ResponseWriter, r *http.Request) {
 	s.store.endSession(r.PathValue("id"))
-	injector.WriteJSON(w, http.StatusOK, true)
+	responder.JSON(w, http.StatusOK, true)
 }
 
 func (s *Server) sessionInfo(w http.ResponseWriter, r *http.Request) {
@@ -237,27 +270,7 @@
 	if v, ok := s.store.sessionInfo(r.PathValue("id")); ok {
 		found = append(found, v)
 	}
-	injector.WriteJSON(w, http.StatusOK, found)
-}
-
-func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
-	caller := r.Header.Get(requester.CallerHeader)
-	s.counts.add(caller, kindVMs)
-	injector.WriteJSON(w, http.StatusOK, s.vms.seen(time.Now(), caller))
-}
-
-// putVMs sets the VM list, or what the caller in the query sees.
-func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []bergamotdale.VM
-	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if caller := r.URL.Query().Get("caller"); caller != "" {
-		s.vms.override(caller, vms)
-		return
-	}
-	s.vms.set(time.Now(), vms)
+	responder.JSON(w, http.StatusOK, found)
 }
 
 func optionalInt(v string) (int64, error) {
--- a/platformserver/store.go
+++ b/kvserver/store.go
@@ -1,4 +1,4 @@
-package platformserver
+package kvserver
 
 import (
 	"crypto/rand"
--- a/platformserver/platformserver.go
+++ b/platformserver/platformserver.go
@@ -1,14 +1,11 @@
-// Package platformserver is a fake of the platform: the key-value store and
-// the VM list. The store speaks the HTTP API of Consul as published (KV with
-// cas and acquire, transactions, blocking queries, sessions with a TTL and delete
-// behaviour), keeps everything in memory and counts each call.
-//
-// Where it is simpler than Consul: a session ends exactly when its TTL has
-// passed, there is no lock delay, and TTLs below 10 s are accepted.
+// Package platformserver is a fake of the platform: the key-value store of
+// kvserver with rate limits and counts of each call, and a VM list that lags
+// and can differ by caller.
 package platformserver
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -16,12 +13,11 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/kvserver"
 	"github.com/bergamotdale/bergamotdale/requester"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
-// maxValue is the longest value of a key, in bytes.
-const maxValue = 1 << 20
-
 // Server is the platform.
 type Server struct {
 	// Address is the host:port that Run listens on unless Listener is set.
@@ -41,8 +37,8 @@
 	Faults *injector.Injector
 
 	once   sync.Once
-	store  *store
-	vms    *vmHistory
+	kv     *kvserver.Server
+	vms    *vmViews
 	counts *counter
 	reads  *bucket
 	writes *bucket
@@ -83,8 +79,8 @@
 	if s.Faults == nil {
 		s.Faults = &injector.Injector{}
 	}
-	s.store = newStore()
-	s.vms = &vmHistory{lagMin: s.VMLagMin, lagMax: s.VMLagMax}
+	s.kv = kvserver.New()
+	s.vms = newVMViews(s.VMLagMin, s.VMLagMax)
 	s.counts = newCounter()
 	s.reads = newBucket(s.ReadRate)
 	s.writes = newBucket(s.WriteRate)
@@ -93,27 +89,25 @@
 func (s *Server) mux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+injector.CountersPath, func(w http.ResponseWriter, _ *http.Request) {
-		injector.WriteJSON(w, http.StatusOK, s.Counters())
+		responder.JSON(w, http.StatusOK, s.Counters())
 	})
-	mux.HandleFunc("GET /v1/kv/{key...}", s.limited(s.reads, s.read))
-	mux.HandleFunc("PUT /v1/kv/{key...}", s.limited(s.writes, s.write))
-	mux.HandleFunc("DELETE /v1/kv/{key...}", s.limited(s.writes, s.delete))
-	mux.HandleFunc("PUT /v1/txn", s.limited(s.writes, s.txn))
-	mux.HandleFunc("PUT /v1/session/create", s.limited(s.writes, s.createSession))
-	mux.HandleFunc("PUT /v1/session/renew/{id}", s.limited(s.writes, s.renewSession))
-	mux.HandleFunc("PUT /v1/session/destroy/{id}", s.limited(s.writes, s.destroySession))
-	mux.HandleFunc("GET /v1/session/info/{id}", s.limited(s.reads, s.sessionInfo))
+	mux.Handle("/v1/kv/", s.limited(s.kv))
+	mux.Handle("/v1/txn", s.limited(s.kv))
+	mux.Handle("/v1/session/", s.limited(s.kv))
 	mux.HandleFunc("GET /v1/vms", s.listVMs)
 	mux.HandleFunc("PUT "+injector.SettingsPath+"vms", s.putVMs)
 	return mux
 }
 
 // limited counts a call, applies the rate limit and adds the latency.
-func (s *Server) limited(b *bucket, h http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		kind := kindOf(r)
-		s.counts.add(r.Header.Get(requester.CallerHeader), kind)
-		if !b.take(time.Now()) {
+func (s *Server) limited(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.counts.add(r.Header.Get(requester.CallerHeader), kindOf(r))
+		limit := s.writes
+		if r.Method == http.MethodGet {
+			limit = s.reads
+		}
+		if !limit.take(time.Now()) {
 			s.counts.reject()
 			http.Error(w, "Your IP is issuing too many concurrent requests", http.StatusTooManyRequests)
 			return
@@ -121,6 +115,26 @@
 		if s.Latency > 0 && bergamotdale.Wait(r.Context(), bergamotdale.SystemClock{}, s.Latency) != nil {
 			return
 		}
-		h(w, r)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
+	caller := r.Header.Get(requester.CallerHeader)
+	s.counts.add(caller, kindVMs)
+	responder.JSON(w, http.StatusOK, s.vms.seen(time.Now(), caller))
+}
+
+// putVMs sets the VM list, or what the caller in the query sees.
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []bergamotdale.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
+	if caller := r.URL.Query().Get("caller"); caller != "" {
+		s.vms.override(caller, vms)
+		return
+	}
+	s.vms.set(time.Now(), vms)
 }
--- a/serviceserver/serviceserver.go
+++ b/serviceserver/serviceserver.go
@@ -15,6 +15,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/responder"
 )
 
 // maxBody is the longest request body accepted, in bytes.
@@ -88,7 +89,7 @@
 func (s *Server) mux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+injector.CountersPath, func(w http.ResponseWriter, _ *http.Request) {
-		injector.WriteJSON(w, http.StatusOK, s.Counters())
+		responder.JSON(w, http.StatusOK, s.Counters())
 	})
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /{call...}", s.call)
@@ -103,7 +104,7 @@
 		return
 	}
 	if len(body) > 0 && !json.Valid(body) {
-		injector.WriteRefusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "the body is not JSON"))
+		responder.Refusal(w, bergamotdale.Refuse(bergamotdale.CodeInvalidJSON, "the body is not JSON"))
 		return
 	}
 	s.injector().Execute(body)
@@ -118,7 +119,7 @@
 	if s.Latency > 0 && bergamotdale.Wait(r.Context(), bergamotdale.SystemClock{}, s.Latency) != nil {
 		return
 	}
-	injector.WriteJSON(w, http.StatusOK, res)
+	responder.JSON(w, http.StatusOK, res)
 }
 
 // count counts an execution and returns how often its key was executed.
