cmd, generator, examples: commands, clients, load tool and a demo of one command

Cause: a stranger needs one command that starts a fleet and sends real requests through it. Ruled out: curl in the demo; a fresh machine may not have it, so 'standin' plays the clients too. 'config wait' before the routers are ready: a router that has just started knows only itself. Change: 'bergamotdale router', JSON logs without stack traces, 'standin chat', 'call' and 'load', examples/demo, make demo, README.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: all build test lint fmt vet unit demo generate clean
+.PHONY: all build test lint fmt vet unit demo soak bench generate clean
 
 all: build
 
@@ -38,5 +38,12 @@
 	cd tools && GOBIN=$(BIN) go install tool
 	PATH=$(BIN):$$PATH go generate ./...
 
+demo: build
+	bash examples/demo/run.sh
+
+# Randomised run with failures on real processes. It prints its seed.
+soak: build
+	go test ./soaker -count=1 -timeout 0 -v -run TestSoak -soak.seed=$(SEED) -soak.duration=$(DURATION)
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -9,9 +9,14 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
+	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/commander"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/logger"
+	"github.com/bergamotdale/bergamotdale/recorder"
+	"github.com/bergamotdale/bergamotdale/router"
 )
 
 func main() {
@@ -23,8 +28,17 @@
 }
 
 // runRouter runs a router until the context is done.
-//
-// TODO: call router.Run here once the router package is merged.
-func runRouter(_ context.Context, s *loader.Settings) error {
-	return errors.NotImplementedf("router %s: package router", s.ID)
+func runRouter(ctx context.Context, s *loader.Settings) error {
+	log, err := logger.New(os.Stderr, s.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer log.Sync()
+	events := &recorder.Ring{Process: s.ID, Clock: bergamotdale.SystemClock{}}
+	r := &router.Router{
+		Settings: s,
+		Logger:   log.With(zap.String("router", s.ID)),
+		Adapters: router.NewAdapters(s, events),
+	}
+	return errors.Trace(r.Run(ctx))
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,7 @@
-// Command standin runs the fakes of the external systems for tests and
-// demonstrations: "standin platform", "standin engine" and "standin service".
+// Command standin plays everything outside the fleet in tests and
+// demonstrations: the platform ("standin platform"), endpoints ("standin
+// engine", "standin service") and clients ("standin chat", "standin call",
+// "standin load").
 package main
 
 import (
@@ -48,7 +50,7 @@
 	service := &serviceserver.Server{Address: "127.0.0.1:8700", Faults: faults}
 
 	flaggy.SetName("standin")
-	flaggy.SetDescription("Fakes of the external systems.")
+	flaggy.SetDescription("Fakes of the external systems and of clients.")
 	flaggy.DefaultParser.ShowVersionWithVersionFlag = false
 	flaggy.DefaultParser.ShowCompletion = false
 	flaggy.String(&faults.ControlAddress, "c", "control", "host:port of a listener for faults and counters only")
@@ -58,6 +60,10 @@
 		engineCommand(engine):     engine,
 		serviceCommand(service):   service,
 	}
+	chat, chatRunner := newChatCommand()
+	call, callRunner := newCallCommand()
+	load, loadRunner := newLoadCommand()
+	servers[chat], servers[call], servers[load] = chatRunner, callRunner, loadRunner
 	for c := range servers {
 		flaggy.AttachSubcommand(c, 1)
 	}
--- /dev/null
+++ b/generator/load.go
@@ -0,0 +1,142 @@
+package generator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+// ClassLoad is the load of one priority class.
+type ClassLoad struct {
+	Class     string
+	Workspace string
+	// Rate is the mean number of requests per second.
+	Rate      float64
+	MaxTokens int
+}
+
+// Load is seeded load on a fleet. The times of its requests do not depend on
+// the responses, so that a slow fleet is not spared.
+type Load struct {
+	// URLs are the base URLs of the routers; requests go to all of them.
+	URLs     []string
+	Model    string
+	Classes  []ClassLoad
+	Duration time.Duration
+	Seed     uint64
+	// Returning is the part of requests that continue an earlier chat.
+	Returning float64
+	Client    *Client
+}
+
+// ClassReport is what the requests of one class got.
+type ClassReport struct {
+	Class     string
+	Requests  int
+	Completed int
+	Refused   map[bergamotdale.Code]int
+	Broken    int
+	// FirstToken holds milliseconds.
+	FirstToken   *hdrhistogram.Histogram
+	PromptTokens int
+	CachedTokens int
+}
+
+// maxFirstToken bounds the histogram, in milliseconds.
+const maxFirstToken = 10 * 60 * 1000
+
+// Run sends the load and returns one report per class.
+func (l *Load) Run(ctx context.Context) []*ClassReport {
+	reports := make([]*ClassReport, len(l.Classes))
+	var wait sync.WaitGroup
+	for i, class := range l.Classes {
+		reports[i] = &ClassReport{
+			Class:      class.Class,
+			Refused:    map[bergamotdale.Code]int{},
+			FirstToken: hdrhistogram.New(1, maxFirstToken, 3),
+		}
+		wait.Go(func() { l.runClass(ctx, uint64(i), class, reports[i]) })
+	}
+	wait.Wait()
+	return reports
+}
+
+// runClass sends the requests of one class.
+func (l *Load) runClass(ctx context.Context, stream uint64, class ClassLoad, report *ClassReport) {
+	random := rand.New(rand.NewPCG(l.Seed, stream))
+	start := l.Client.Clock.Now()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	chats := 0
+	for at := time.Duration(0); at < l.Duration; {
+		at += time.Duration(random.ExpFloat64() / class.Rate * float64(time.Second))
+		chat := l.next(random, class, &chats)
+		chat.URL = l.URLs[random.IntN(len(l.URLs))]
+		if bergamotdale.Wait(ctx, l.Client.Clock, start.Add(at).Sub(l.Client.Clock.Now())) != nil {
+			break
+		}
+		wait.Go(func() {
+			result, err := l.Client.Chat(ctx, chat)
+			mu.Lock()
+			defer mu.Unlock()
+			report.add(result, err)
+		})
+	}
+	wait.Wait()
+}
+
+// next returns the next request: a new chat, or another turn of an earlier one
+// whose prompt repeats all turns before it.
+func (l *Load) next(random *rand.Rand, class ClassLoad, chats *int) Chat {
+	number, turns := *chats, 1
+	if *chats > 0 && random.Float64() < l.Returning {
+		number, turns = random.IntN(*chats), 2+random.IntN(3)
+	} else {
+		*chats++
+	}
+	chat := Chat{
+		Workspace: class.Workspace,
+		Class:     class.Class,
+		Chat:      fmt.Sprintf("%s-%s-%d-%d", class.Workspace, class.Class, l.Seed, number),
+		Model:     l.Model,
+		MaxTokens: class.MaxTokens,
+	}
+	for turn := range turns {
+		chat.Messages = append(chat.Messages, strings.Repeat(fmt.Sprintf("chat %d turn %d ", number, turn), 20))
+	}
+	return chat
+}
+
+// add counts one result.
+func (r *ClassReport) add(result Result, err error) {
+	r.Requests++
+	switch {
+	case result.Refusal != nil:
+		r.Refused[result.Refusal.Code]++
+	case err != nil || !result.Complete:
+		r.Broken++
+	default:
+		r.Completed++
+		r.PromptTokens += result.PromptTokens
+		r.CachedTokens += result.CachedTokens
+		_ = r.FirstToken.RecordValue(min(maxFirstToken, max(1, result.FirstToken.Milliseconds())))
+	}
+}
+
+// String returns the report as one line.
+func (r *ClassReport) String() string {
+	cached := 0.0
+	if r.PromptTokens > 0 {
+		cached = 100 * float64(r.CachedTokens) / float64(r.PromptTokens)
+	}
+	return fmt.Sprintf("%-10s %6d requests %6d completed %5d broken, refused %v, first token p50 %d ms p95 %d ms, %.0f%% of prompt tokens cached",
+		r.Class, r.Requests, r.Completed, r.Broken, r.Refused,
+		r.FirstToken.ValueAtQuantile(50), r.FirstToken.ValueAtQuantile(95), cached)
+}
