decoder, splitter, differ, reviser: split from loader, validator, follower

Change: decoder (strict YAML into structs), splitter (sections), differ (differences) and reviser (Head, Apply, commit) are packages of their own; loader keeps the settings, validator the document and its compiled form, follower the following. An Apply replaces a malformed head if the router has a revision in force. A section above the store's limit of 1 MB is refused as invalid instead of as a failure of the store.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -8,6 +8,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/decoder"
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/operator"
 )
@@ -146,7 +147,7 @@
 	if err == nil {
 		return ExitSuccess
 	}
-	var problems loader.Problems
+	var problems decoder.Problems
 	switch {
 	case errors.As(err, &problems):
 		if !c.flags.json {
--- a/commander/config.go
+++ b/commander/config.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/decoder"
 	"github.com/bergamotdale/bergamotdale/operator"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
 	"github.com/bergamotdale/bergamotdale/validator"
@@ -73,9 +73,9 @@
 func (c *Commander) checkFile(data []byte) error {
 	_, err := validator.Parse(c.flags.file, data)
 	if c.flags.json {
-		problems := loader.Problems{}
+		problems := decoder.Problems{}
 		errors.As(err, &problems)
-		if err := c.printJSON(map[string]loader.Problems{"problems": problems}); err != nil {
+		if err := c.printJSON(map[string]decoder.Problems{"problems": problems}); err != nil {
 			return err
 		}
 		return err
--- a/loader/check.go
+++ b/decoder/check.go
@@ -1,4 +1,4 @@
-package loader
+package decoder
 
 import (
 	"encoding"
@@ -103,7 +103,7 @@
 		}
 	}
 	if err != nil {
-		panic(fmt.Sprintf("loader: range tag %q of type %s: %v", text, t, err))
+		panic(fmt.Sprintf("decoder: range tag %q of type %s: %v", text, t, err))
 	}
 	return number(v.Elem())
 }
@@ -120,11 +120,11 @@
 }
 
 func kindName(t reflect.Type, rules reflect.StructTag) string {
-	switch {
-	case t == durationType:
+	if t == durationType {
 		return "a duration such as 30s"
-	case t == reflect.TypeFor[Size]():
-		return "a size such as 8MiB"
+	}
+	if d, ok := reflect.Zero(t).Interface().(Describer); ok {
+		return d.Describe()
 	}
 	switch t.Kind() {
 	case reflect.Struct:
--- a/loader/decode.go
+++ b/decoder/decode.go
@@ -1,4 +1,4 @@
-package loader
+package decoder
 
 import (
 	"encoding"
@@ -15,6 +15,12 @@
 	SetDefaults()
 }
 
+// Describer names the accepted values of a type with a text form, as in "a
+// size such as 8MiB".
+type Describer interface {
+	Describe() string
+}
+
 var (
 	durationType = reflect.TypeFor[time.Duration]()
 	unmarshaler  = reflect.TypeFor[encoding.TextUnmarshaler]()
@@ -62,7 +68,7 @@
 	case reflect.Float64:
 		s.decodeFloat(path, n, v, rules)
 	default:
-		panic(fmt.Sprintf("loader: field %s has unsupported type %s", path, v.Type()))
+		panic(fmt.Sprintf("decoder: field %s has unsupported type %s", path, v.Type()))
 	}
 }
 
--- a/loader/source.go
+++ b/decoder/source.go
@@ -1,4 +1,4 @@
-package loader
+package decoder
 
 import (
 	"fmt"
--- a/validator/compare.go
+++ b/differ/differ.go
@@ -1,9 +1,12 @@
-package validator
+// Package differ lists the differences between two configuration documents.
+package differ
 
 import (
 	"fmt"
 	"reflect"
 	"strings"
+
+	"github.com/bergamotdale/bergamotdale/validator"
 )
 
 // Difference is one value that differs between two documents. Items of lists
@@ -29,7 +32,7 @@
 }
 
 // Compare lists the differences in the order of the document's fields.
-func Compare(before, after *Document) []Difference {
+func Compare(before, after *validator.Document) []Difference {
 	var c comparer
 	c.compare("", reflect.ValueOf(*before), reflect.ValueOf(*after))
 	return c.found
--- a/follower/fault_test.go
+++ b/follower/fault_test.go
@@ -13,7 +13,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/differ"
 	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/reviser"
+	"github.com/bergamotdale/bergamotdale/splitter"
 	"github.com/bergamotdale/bergamotdale/storetester"
 	"github.com/bergamotdale/bergamotdale/validator"
 )
@@ -33,14 +36,14 @@
 	mine := document(t)
 	mine.Limits.RetryRatio = 0.05
 	_, err = apply(b, 1, mine)
-	var conflict *follower.ConflictError
+	var conflict *reviser.ConflictError
 	assert.Assert(t, errors.As(err, &conflict), "%v", err)
 	assert.Equal(t, conflict.Revision, int64(2))
 	assert.Equal(t, conflict.InForce.Author, "jiwoo")
-	assert.DeepEqual(t, conflict.Since, []validator.Difference{
+	assert.DeepEqual(t, conflict.Since, []differ.Difference{
 		{Path: "workspaces[inn].weight", Before: "1", After: "3"},
 	})
-	assert.DeepEqual(t, conflict.Proposed, []validator.Difference{
+	assert.DeepEqual(t, conflict.Proposed, []differ.Difference{
 		{Path: "workspaces[inn].weight", Before: "3", After: "1"},
 		{Path: "limits.retry-ratio", Before: "0.1", After: "0.05"},
 	})
@@ -211,7 +214,7 @@
 	<-a.Started()
 	_, err := apply(a, 0, document(t))
 	assert.NilError(t, err)
-	old, err := fl.store.Get(ctx, follower.HeadKey)
+	old, err := fl.store.Get(ctx, reviser.HeadKey)
 	assert.NilError(t, err)
 	_, err = apply(a, 1, weighted(t, 2))
 	assert.NilError(t, err)
@@ -219,14 +222,14 @@
 	assert.NilError(t, err)
 	fl.inForce(3, a, b)
 
-	sections, err := fl.store.List(ctx, follower.SectionPrefix)
+	sections, err := fl.store.List(ctx, reviser.SectionPrefix)
 	assert.NilError(t, err)
 	for _, s := range sections {
 		assert.NilError(t, fl.store.Delete(ctx, s.Key, s.Version))
 	}
-	now, err := fl.store.Get(ctx, follower.HeadKey)
+	now, err := fl.store.Get(ctx, reviser.HeadKey)
 	assert.NilError(t, err)
-	_, err = fl.store.CompareAndSwap(ctx, follower.HeadKey, old.Value, now.Version)
+	_, err = fl.store.CompareAndSwap(ctx, reviser.HeadKey, old.Value, now.Version)
 	assert.NilError(t, err)
 	c := fl.start("c")
 	fl.inForce(3, a, b, c)
@@ -237,7 +240,8 @@
 	fl.inForce(4, a, b, c)
 }
 
-// Guards against a malformed head or section that replaces a working revision.
+// Guards against a malformed head that replaces a working revision, or that no
+// later Apply can replace.
 func TestMalformedHeadIsIgnored(t *testing.T) {
 	ctx := context.Background()
 	fl := newFleet(t)
@@ -247,13 +251,16 @@
 	assert.NilError(t, err)
 	before := fl.store.Count(storetester.OpWatch)
 	for _, value := range []string{"", "{}", `{"revision": 9}`, `{"revision": 9, "history": [{"revision": 9}]}`} {
-		now, err := fl.store.Get(ctx, follower.HeadKey)
+		now, err := fl.store.Get(ctx, reviser.HeadKey)
 		assert.NilError(t, err)
-		_, err = fl.store.CompareAndSwap(ctx, follower.HeadKey, []byte(value), now.Version)
+		_, err = fl.store.CompareAndSwap(ctx, reviser.HeadKey, []byte(value), now.Version)
 		assert.NilError(t, err)
 	}
 	fl.eventually("the head was read", nil, func() bool { return fl.store.Count(storetester.OpWatch) > before+1 })
 	assert.Equal(t, a.Status().Revision, int64(1))
+	result, err := apply(a, 1, weighted(t, 2))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, int64(2))
 }
 
 // Guards against sections that pile up in the store, and against the deletion
@@ -263,7 +270,7 @@
 	fl := newFleet(t)
 	a := fl.start("a")
 	<-a.Started()
-	const revisions = 3 * follower.HistoryLength
+	const revisions = 3 * reviser.HistoryLength
 	for i := range int64(revisions) {
 		// Every tenth revision returns to the first weight.
 		weight := float64(i%10 + 10*(i/10)*min(i%10, 1) + 1)
@@ -274,10 +281,10 @@
 		_, err := a.DocumentAt(ctx, c.Revision)
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, len(a.History()), follower.HistoryLength)
-	sections, err := fl.store.List(ctx, follower.SectionPrefix)
+	assert.Equal(t, len(a.History()), reviser.HistoryLength)
+	sections, err := fl.store.List(ctx, reviser.SectionPrefix)
 	assert.NilError(t, err)
-	assert.Assert(t, len(sections) <= follower.HistoryLength+len(validator.SectionNames()), "%d sections", len(sections))
+	assert.Assert(t, len(sections) <= reviser.HistoryLength+len(splitter.Names()), "%d sections", len(sections))
 }
 
 // Guards against a deletion that removes a section which another writer is
@@ -286,31 +293,31 @@
 	fl := newFleet(t)
 	a, b := fl.start("a"), fl.start("b")
 	<-a.Started()
-	for i := range int64(follower.HistoryLength) {
+	for i := range int64(reviser.HistoryLength) {
 		_, err := apply(a, i, weighted(t, float64(i+1)))
 		assert.NilError(t, err)
 	}
-	fl.inForce(follower.HistoryLength, b)
+	fl.inForce(reviser.HistoryLength, b)
 	// While a deletes the section of revision 1, b returns to it.
 	var interleaved atomic.Bool
 	hook := func(op storetester.Op) error {
 		if op == storetester.OpDelete && interleaved.CompareAndSwap(false, true) {
-			_, err := apply(b, follower.HistoryLength+1, weighted(t, 1))
+			_, err := apply(b, reviser.HistoryLength+1, weighted(t, 1))
 			assert.NilError(t, err)
 		}
 		return nil
 	}
 	fl.hook.Store(&hook)
-	_, err := apply(a, follower.HistoryLength, weighted(t, 999))
+	_, err := apply(a, reviser.HistoryLength, weighted(t, 999))
 	assert.NilError(t, err)
 	assert.Assert(t, interleaved.Load())
-	fl.inForce(follower.HistoryLength+2, a, b)
+	fl.inForce(reviser.HistoryLength+2, a, b)
 	// A follower without peers has only the sections of the store.
 	fl.mu.Lock()
 	clear(fl.routers)
 	fl.mu.Unlock()
 	c := fl.start("c")
-	fl.inForce(follower.HistoryLength+2, c)
+	fl.inForce(reviser.HistoryLength+2, c)
 	document, _ := c.Document()
 	assert.Equal(t, document.Workspaces[workspaceIndex(document, "inn")].Weight, 1.0)
 }
--- a/follower/fetch.go
+++ b/follower/fetch.go
@@ -3,50 +3,20 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/validator"
+	"github.com/bergamotdale/bergamotdale/reviser"
+	"github.com/bergamotdale/bergamotdale/splitter"
 )
 
 func isNotFound(err error) bool {
 	return errors.Is(err, bergamotdale.ErrNotFound)
 }
 
-// bounded returns a context that is done after d on the follower's clock.
-func (f *Follower) bounded(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	bounded, cancel := context.WithCancel(ctx)
-	expired := f.Clock.After(d)
-	go func() {
-		select {
-		case <-expired:
-			cancel()
-		case <-bounded.Done():
-		}
-	}()
-	return bounded, cancel
-}
-
-// get reads a key of the store within callTimeout.
-func (f *Follower) get(ctx context.Context, key string) (bergamotdale.Entry, error) {
-	ctx, cancel := f.bounded(ctx, callTimeout)
-	defer cancel()
-	entry, err := f.Store.Get(ctx, key)
-	f.noteStore(err)
-	return entry, err
-}
-
-func (f *Follower) noteStore(err error) {
-	if err == nil || isNotFound(err) || errors.Is(err, bergamotdale.ErrConflict) {
-		now := f.Clock.Now()
-		f.storeSeen.Store(&now)
-	}
-}
-
 // watch long-polls the head. On a hint it reads the head directly, on a new
 // call.
 func (f *Follower) watch(ctx context.Context, seen int64, hint <-chan struct{}) (bergamotdale.Entry, error) {
@@ -58,7 +28,7 @@
 	defer cancel()
 	done := make(chan result, 1)
 	go func() {
-		entry, err := f.Store.Watch(ctx, HeadKey, seen, watchWait)
+		entry, err := f.Store.Watch(ctx, reviser.HeadKey, seen, watchWait)
 		done <- result{entry, err}
 	}()
 	select {
@@ -66,7 +36,7 @@
 		f.noteStore(r.err)
 		return r.entry, r.err
 	case <-hint:
-		return f.get(ctx, HeadKey)
+		return f.get(ctx, reviser.HeadKey)
 	case <-ctx.Done():
 		return bergamotdale.Entry{}, errors.Annotate(ctx.Err(), "long poll of the head is silent")
 	}
@@ -104,16 +74,16 @@
 			return data, nil
 		}
 	}
-	entry, err := f.get(ctx, SectionKey(hash))
+	entry, err := f.get(ctx, reviser.SectionKey(hash))
 	if err == nil {
-		if validator.HashSection(entry.Value) == hash {
+		if splitter.Hash(entry.Value) == hash {
 			return entry.Value, nil
 		}
 		err = errors.NotValidf("data of section %s in the store", hash)
 	}
 	for _, address := range f.sample() {
 		response, peerErr := f.ask(ctx, address, ConfigRequest{Section: hash})
-		if peerErr == nil && validator.HashSection(response.Section) == hash {
+		if peerErr == nil && splitter.Hash(response.Section) == hash {
 			return response.Section, nil
 		}
 	}
@@ -123,19 +93,19 @@
 // catchUp asks some peers for a higher revision and adopts the highest.
 func (f *Follower) catchUp(ctx context.Context) {
 	addresses := f.sample()
-	heads := make([]*Head, len(addresses))
+	heads := make([]*reviser.Head, len(addresses))
 	var group errgroup.Group
 	for i, address := range addresses {
 		group.Go(func() error {
 			response, err := f.ask(ctx, address, ConfigRequest{Known: f.revision()})
-			if err == nil && response.Head != nil && response.Head.check() == nil {
+			if err == nil && response.Head != nil && response.Head.Check() == nil {
 				heads[i] = response.Head
 			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	var highest *Head
+	var highest *reviser.Head
 	for _, h := range heads {
 		if h != nil && (highest == nil || h.Revision > highest.Revision) {
 			highest = h
@@ -144,7 +114,7 @@
 	if highest == nil || highest.Revision <= f.revision() {
 		return
 	}
-	if err := f.adopt(ctx, highest); err != nil {
+	if err := f.Adopt(ctx, highest); err != nil {
 		f.Logger.Warn("configuration of a peer not adopted", zap.Int64("offered", highest.Revision), zap.Error(err))
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/reviser"
+	"github.com/bergamotdale/bergamotdale/splitter"
 	"github.com/bergamotdale/bergamotdale/validator"
 )
 
@@ -60,7 +62,7 @@
 
 // inForce is the revision that a router serves. It never changes.
 type inForce struct {
-	head     *Head
+	head     *reviser.Head
 	document *validator.Document
 	config   *validator.Config
 	// sections holds the section data by hash, for peers.
@@ -180,7 +182,7 @@
 func (f *Follower) start(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.catchUp(ctx)
-		entry, err := f.get(ctx, HeadKey)
+		entry, err := f.get(ctx, reviser.HeadKey)
 		switch {
 		case err == nil:
 			err = f.read(ctx, entry)
@@ -227,20 +229,20 @@
 	if !ok {
 		return nil
 	}
-	return f.adopt(ctx, head)
+	return f.Adopt(ctx, head)
 }
 
-func (f *Follower) decode(entry bergamotdale.Entry) (*Head, bool) {
-	head, err := decodeHead(entry.Value)
+func (f *Follower) decode(entry bergamotdale.Entry) (*reviser.Head, bool) {
+	head, err := reviser.DecodeHead(entry.Value)
 	if err != nil {
 		f.Logger.Error("configuration head refused", zap.Error(err))
 	}
 	return head, err == nil
 }
 
-// adopt brings the head in force if its revision is higher than the current
+// Adopt brings the head in force if its revision is higher than the current
 // one. It returns an error where a later attempt can succeed.
-func (f *Follower) adopt(ctx context.Context, head *Head) error {
+func (f *Follower) Adopt(ctx context.Context, head *reviser.Head) error {
 	f.installing.Lock()
 	defer f.installing.Unlock()
 	now := f.current.Load()
@@ -265,19 +267,19 @@
 
 // compare logs a head that contradicts the revision in force: the store has
 // gone back, or two heads carry the same revision.
-func (f *Follower) compare(own, other *Head) {
+func (f *Follower) compare(own, other *reviser.Head) {
 	switch {
 	case other.Revision < own.Revision:
 		f.Logger.Error("configuration head with a lower revision ignored",
 			zap.Int64("revision", own.Revision), zap.Int64("ignored", other.Revision))
-	case own.nonce() != other.nonce():
+	case own.Nonce() != other.Nonce():
 		f.Logger.Error("configuration head with the same revision and another nonce ignored",
-			zap.Int64("revision", own.Revision), zap.String("ignored-nonce", other.nonce()))
+			zap.Int64("revision", own.Revision), zap.String("ignored-nonce", other.Nonce()))
 	}
 }
 
-func compile(head *Head, data map[string][]byte) (*inForce, error) {
-	document, err := validator.Join(data)
+func compile(head *reviser.Head, data map[string][]byte) (*inForce, error) {
+	document, err := splitter.Join(data)
 	if err != nil {
 		return nil, err
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/follower"
+	"github.com/bergamotdale/bergamotdale/reviser"
 	"github.com/bergamotdale/bergamotdale/storetester"
 	"github.com/bergamotdale/bergamotdale/validator"
 )
@@ -159,8 +160,8 @@
 	return d
 }
 
-func apply(f *follower.Follower, base int64, d *validator.Document) (follower.ApplyResult, error) {
-	return f.Apply(context.Background(), follower.ApplyRequest{
+func apply(f *follower.Follower, base int64, d *validator.Document) (reviser.Result, error) {
+	return f.Apply(context.Background(), reviser.Request{
 		Base: base, Document: d, Author: "jiwoo", Comment: fmt.Sprintf("after %d", base),
 	})
 }
--- a/follower/peer.go
+++ b/follower/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bergamotdale/bergamotdale/reviser"
 )
 
 // ConfigRequest is the peer message "config". It asks for the head or, if
@@ -18,8 +20,8 @@
 // ConfigResponse answers ConfigRequest. Empty fields mean that the receiver
 // has nothing newer, or does not have the section.
 type ConfigResponse struct {
-	Head    *Head  `json:"head,omitempty"`
-	Section []byte `json:"section,omitempty"`
+	Head    *reviser.Head `json:"head,omitempty"`
+	Section []byte        `json:"section,omitempty"`
 }
 
 // StatusRequest is the peer message "status".
@@ -67,7 +69,7 @@
 	}
 	if c := f.current.Load(); c != nil {
 		s.Revision = c.head.Revision
-		s.Nonce = c.head.nonce()
+		s.Nonce = c.head.Nonce()
 		s.Since = c.since
 	}
 	return s
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale/decoder"
 )
 
 // Settings are the process settings of one router. They are read once at the
@@ -64,7 +66,7 @@
 	VMList time.Duration `yaml:"vm-list" min:"500ms" max:"1m"`
 }
 
-// SetDefaults implements Defaulter.
+// SetDefaults implements decoder.Defaulter.
 func (s *Settings) SetDefaults() {
 	s.LogLevel = "info"
 	// Longer than the default max-stream-duration of 10 minutes.
@@ -73,14 +75,14 @@
 	s.Periods.SetDefaults()
 }
 
-// SetDefaults implements Defaulter.
+// SetDefaults implements decoder.Defaulter.
 func (l *SizeLimits) SetDefaults() {
 	l.RequestBody = 4 << 20
 	l.PeerBody = 16 << 20
 	l.Configuration = 8 << 20
 }
 
-// SetDefaults implements Defaulter.
+// SetDefaults implements decoder.Defaulter.
 func (p *Periods) SetDefaults() {
 	p.Probe = time.Second
 	p.Heartbeat = time.Second
@@ -99,9 +101,9 @@
 	return ParseSettings(file, data)
 }
 
-// ParseSettings parses settings. The error holds all Problems at once.
+// ParseSettings parses settings. The error holds all decoder.Problems.
 func ParseSettings(file string, data []byte) (*Settings, error) {
-	src := Parse(file, data)
+	src := decoder.Parse(file, data)
 	s := &Settings{}
 	src.Decode(s)
 	s.checkAddresses(src)
@@ -114,23 +116,23 @@
 // checkAddresses reports repeated addresses: two listeners cannot share one,
 // and a repeated store or seed is a typing error. The seeds may hold this
 // router's own address, so that all routers can have the same list.
-func (s *Settings) checkAddresses(src *Source) {
-	own := map[string]Path{}
-	once(src, own, s.Listen.Clients, At("listen", "clients"))
-	once(src, own, s.Listen.Peers, At("listen", "peers"))
-	once(src, own, s.Listen.Operators, At("listen", "operators"))
-	once(src, maps.Clone(own), s.VMList, At("vm-list"))
+func (s *Settings) checkAddresses(src *decoder.Source) {
+	own := map[string]decoder.Path{}
+	once(src, own, s.Listen.Clients, decoder.At("listen", "clients"))
+	once(src, own, s.Listen.Peers, decoder.At("listen", "peers"))
+	once(src, own, s.Listen.Operators, decoder.At("listen", "operators"))
+	once(src, maps.Clone(own), s.VMList, decoder.At("vm-list"))
 	for i, a := range s.Stores {
-		once(src, own, a, At("stores", i))
+		once(src, own, a, decoder.At("stores", i))
 	}
-	seeds := map[string]Path{}
+	seeds := map[string]decoder.Path{}
 	for i, a := range s.Seeds {
-		once(src, seeds, a, At("seeds", i))
+		once(src, seeds, a, decoder.At("seeds", i))
 	}
 }
 
 // once reports the address if seen has it and adds it otherwise.
-func once(src *Source, seen map[string]Path, address string, path Path) {
+func once(src *decoder.Source, seen map[string]decoder.Path, address string, path decoder.Path) {
 	first, ok := seen[address]
 	switch {
 	case address == "":
--- a/loader/size.go
+++ b/loader/size.go
@@ -38,6 +38,11 @@
 	return errors.Errorf("%q is not a size", text)
 }
 
+// Describe implements decoder.Describer.
+func (s Size) Describe() string {
+	return "a size such as 8MiB"
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (s Size) MarshalText() ([]byte, error) {
 	return []byte(s.String()), nil
--- a/operator/server.go
+++ b/operator/server.go
@@ -10,9 +10,12 @@
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/decoder"
+	"github.com/bergamotdale/bergamotdale/differ"
 	"github.com/bergamotdale/bergamotdale/follower"
 	"github.com/bergamotdale/bergamotdale/loader"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
+	"github.com/bergamotdale/bergamotdale/reviser"
 	"github.com/bergamotdale/bergamotdale/validator"
 )
 
@@ -20,8 +23,8 @@
 type Configuration interface {
 	Document() (*validator.Document, int64)
 	DocumentAt(ctx context.Context, revision int64) (*validator.Document, error)
-	History() []follower.Change
-	Apply(ctx context.Context, r follower.ApplyRequest) (follower.ApplyResult, error)
+	History() []reviser.Change
+	Apply(ctx context.Context, r reviser.Request) (reviser.Result, error)
 	Status() follower.Status
 }
 
@@ -101,7 +104,7 @@
 		inForce = &validator.Document{}
 	}
 	return connect.NewResponse(&pb.CheckResponse{
-		Differences: wireDifferences(validator.Compare(inForce, d)),
+		Differences: wireDifferences(differ.Compare(inForce, d)),
 		Revision:    revision,
 	}), nil
 }
@@ -115,7 +118,7 @@
 	if err != nil {
 		return s.rejected(err)
 	}
-	result, err := s.Configuration.Apply(ctx, follower.ApplyRequest{
+	result, err := s.Configuration.Apply(ctx, reviser.Request{
 		Base: r.Msg.Base, Document: d, Author: r.Msg.Author, Comment: r.Msg.Comment,
 	})
 	if err != nil {
@@ -138,7 +141,7 @@
 			Outcome: pb.ApplyOutcome_APPLY_OUTCOME_INVALID, Revision: revision, Problems: problems,
 		}), nil
 	}
-	var conflict *follower.ConflictError
+	var conflict *reviser.ConflictError
 	if errors.As(err, &conflict) {
 		return connect.NewResponse(&pb.ApplyResponse{
 			Outcome: pb.ApplyOutcome_APPLY_OUTCOME_CONFLICT, Revision: conflict.Revision, Conflict: wireConflict(conflict),
@@ -180,7 +183,17 @@
 	}
 	var rules []validator.Rule
 	if s.DrainDeadline > 0 {
-		rules = append(rules, validator.StreamsEndBefore(s.DrainDeadline))
+		rules = append(rules, s.streamsEndBeforeStop)
 	}
 	return validator.Parse(file, []byte(text), rules...)
 }
+
+// streamsEndBeforeStop reports a longest stream that a planned stop of this
+// router would cut (D13).
+func (s *Server) streamsEndBeforeStop(d *validator.Document, src *decoder.Source) {
+	if d.Limits.MaxStreamDuration >= s.DrainDeadline {
+		src.Report(decoder.At("limits", "max-stream-duration"),
+			"less than the drain-deadline of the routers, "+s.DrainDeadline.String(),
+			"a stream of %s could outlive a planned stop", d.Limits.MaxStreamDuration)
+	}
+}
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -11,15 +11,15 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/follower"
-	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/decoder"
+	"github.com/bergamotdale/bergamotdale/differ"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
-	"github.com/bergamotdale/bergamotdale/validator"
+	"github.com/bergamotdale/bergamotdale/reviser"
 )
 
 // asProblems returns the problems of a document in their wire form.
 func asProblems(err error) ([]*pb.Problem, bool) {
-	var problems loader.Problems
+	var problems decoder.Problems
 	if !errors.As(err, &problems) {
 		return nil, false
 	}
@@ -38,17 +38,17 @@
 	if len(wire) == 0 {
 		return nil
 	}
-	problems := make(loader.Problems, len(wire))
+	problems := make(decoder.Problems, len(wire))
 	for i, p := range wire {
-		problems[i] = loader.Problem{
-			File: p.File, Position: loader.Position{Line: int(p.Line), Column: int(p.Column)},
+		problems[i] = decoder.Problem{
+			File: p.File, Position: decoder.Position{Line: int(p.Line), Column: int(p.Column)},
 			Path: p.Path, Message: p.Message, Expected: p.Expected,
 		}
 	}
 	return problems
 }
 
-func wireDifferences(all []validator.Difference) []*pb.Difference {
+func wireDifferences(all []differ.Difference) []*pb.Difference {
 	wire := make([]*pb.Difference, len(all))
 	for i, d := range all {
 		wire[i] = &pb.Difference{Path: d.Path, Before: d.Before, After: d.After}
@@ -57,22 +57,22 @@
 }
 
 // Differences returns the differences of a response.
-func Differences(wire []*pb.Difference) []validator.Difference {
-	all := make([]validator.Difference, len(wire))
+func Differences(wire []*pb.Difference) []differ.Difference {
+	all := make([]differ.Difference, len(wire))
 	for i, d := range wire {
-		all[i] = validator.Difference{Path: d.Path, Before: d.Before, After: d.After}
+		all[i] = differ.Difference{Path: d.Path, Before: d.Before, After: d.After}
 	}
 	return all
 }
 
-func wireChange(c follower.Change) *pb.Change {
+func wireChange(c reviser.Change) *pb.Change {
 	return &pb.Change{
 		Revision: c.Revision, Author: c.Author, Time: timestamppb.New(c.Time), Comment: c.Comment,
 		Sections: slices.Sorted(maps.Keys(c.Replaced)),
 	}
 }
 
-func wireConflict(e *follower.ConflictError) *pb.Conflict {
+func wireConflict(e *reviser.ConflictError) *pb.Conflict {
 	return &pb.Conflict{
 		InForce: wireChange(e.InForce), BaseKnown: e.BaseKnown,
 		Since: wireDifferences(e.Since), Proposed: wireDifferences(e.Proposed),
@@ -86,6 +86,8 @@
 	switch {
 	case errors.Is(err, errors.NotFound):
 		return connect.NewError(connect.CodeNotFound, err)
+	case errors.Is(err, errors.NotValid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
 	case !errors.As(err, &refusal):
 		return connect.NewError(connect.CodeInternal, err)
 	}
--- a/follower/commit.go
+++ b/reviser/commit.go
@@ -1,4 +1,4 @@
-package follower
+package reviser
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/validator"
+	"github.com/bergamotdale/bergamotdale/splitter"
 )
 
 // commit writes the sections and the head of one new revision.
@@ -25,8 +25,8 @@
 //     Both raise its version, and a deletion names the version that the section
 //     had before the head stopped referencing it, so it fails.
 type commit struct {
-	follower *Follower
-	base     *Head
+	reviser *Reviser
+	base    *Head
 	// version is the version of the head's key that base was read with.
 	version int64
 	next    *Head
@@ -46,7 +46,7 @@
 const settlePause = 250 * time.Millisecond
 
 // run reports whether the new head was accepted; otherwise another one was.
-func (c *commit) run(ctx context.Context, sections []validator.Section) (bool, error) {
+func (c *commit) run(ctx context.Context, sections []splitter.Section) (bool, error) {
 	c.created = map[string]int64{}
 	referenced := map[string]bool{}
 	if !c.restore {
@@ -76,12 +76,12 @@
 }
 
 // putSection makes sure that the section exists with a version of this commit.
-func (c *commit) putSection(ctx context.Context, s validator.Section) error {
+func (c *commit) putSection(ctx context.Context, s splitter.Section) error {
 	key := SectionKey(s.Hash)
 	var version int64
 	var last error
 	for range maxAttempts {
-		written, err := c.swap(ctx, key, s.Data, version)
+		written, err := c.reviser.Store.CompareAndSwap(ctx, key, s.Data, version)
 		switch {
 		case err == nil:
 			if version == 0 {
@@ -92,7 +92,7 @@
 			return err
 		}
 		last = err
-		existing, err := c.follower.get(ctx, key)
+		existing, err := c.reviser.Store.Get(ctx, key)
 		if err != nil && !isNotFound(err) {
 			return err
 		}
@@ -111,7 +111,7 @@
 	}
 	ambiguous := false
 	for range maxAttempts {
-		_, err = c.swap(ctx, HeadKey, value, c.version)
+		_, err = c.reviser.Store.CompareAndSwap(ctx, HeadKey, value, c.version)
 		switch {
 		case err == nil:
 			return true, nil
@@ -129,7 +129,7 @@
 				return won, nil
 			}
 		}
-		if bergamotdale.Wait(ctx, c.follower.Clock, settlePause) != nil {
+		if bergamotdale.Wait(ctx, c.reviser.Clock, settlePause) != nil {
 			break
 		}
 	}
@@ -139,16 +139,16 @@
 // settle reads the head back. It reports whether the new head took effect, and
 // false for known if the head is unchanged or cannot be read.
 func (c *commit) settle(ctx context.Context) (won, known bool) {
-	entry, err := c.follower.get(ctx, HeadKey)
+	entry, err := c.reviser.Store.Get(ctx, HeadKey)
 	if err != nil || entry.Version == c.version {
 		return false, false
 	}
-	head, err := decodeHead(entry.Value)
+	head, err := DecodeHead(entry.Value)
 	if err != nil {
 		return false, false
 	}
 	change, ok := head.change(c.next.Revision)
-	return ok && change.Nonce == c.next.nonce(), true
+	return ok && change.Nonce == c.next.Nonce(), true
 }
 
 // obsolete returns the versions of the sections that the new head no longer
@@ -159,7 +159,7 @@
 		return versions
 	}
 	for _, hash := range c.base.dropped(c.next) {
-		if entry, err := c.follower.get(ctx, SectionKey(hash)); err == nil {
+		if entry, err := c.reviser.Store.Get(ctx, SectionKey(hash)); err == nil {
 			versions[hash] = entry.Version
 		}
 	}
@@ -176,26 +176,14 @@
 // unreferenced section behind, which costs only space.
 func (c *commit) remove(ctx context.Context, versions map[string]int64) {
 	for hash, version := range versions {
-		err := c.follower.Store.Delete(ctx, SectionKey(hash), version)
+		err := c.reviser.Store.Delete(ctx, SectionKey(hash), version)
 		if err != nil && !errors.Is(err, bergamotdale.ErrConflict) {
-			c.follower.Logger.Info("obsolete configuration section left in the store",
+			c.reviser.Logger.Info("obsolete configuration section left in the store",
 				zap.String("section", hash), zap.Error(err))
 		}
 	}
 }
 
-func (c *commit) swap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
-	ctx, cancel := c.follower.bounded(ctx, callTimeout)
-	defer cancel()
-	entry, err := c.follower.Store.CompareAndSwap(ctx, key, value, version)
-	c.follower.noteStore(err)
-	if ctx.Err() != nil && err != nil {
-		// The call was given up while it may have been on its way.
-		err = bergamotdale.ErrAmbiguous
-	}
-	return entry, err
-}
-
 func sortedKeys(m map[string]string) []string {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/follower/head.go
+++ b/reviser/head.go
@@ -1,4 +1,4 @@
-package follower
+package reviser
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/bergamotdale/bergamotdale/validator"
+	"github.com/bergamotdale/bergamotdale/splitter"
 )
 
 const (
@@ -51,20 +51,24 @@
 	return SectionPrefix + hash
 }
 
-// decodeHead decodes a head and checks the parts that the follower relies on.
-func decodeHead(data []byte) (*Head, error) {
+// DecodeHead decodes a head and checks the parts that a follower relies on.
+func DecodeHead(data []byte) (*Head, error) {
 	h := &Head{}
 	if err := json.Unmarshal(data, h); err != nil {
 		return nil, errors.Annotate(err, "configuration head")
 	}
-	return h, h.check()
+	if err := h.Check(); err != nil {
+		return nil, err
+	}
+	return h, nil
 }
 
-func (h *Head) check() error {
+// Check returns an error if the head lacks a part that a follower relies on.
+func (h *Head) Check() error {
 	if h.Revision < 1 || len(h.History) == 0 || h.History[0].Revision != h.Revision {
 		return errors.NotValidf("configuration head with revision %d and %d history entries", h.Revision, len(h.History))
 	}
-	for _, name := range validator.SectionNames() {
+	for _, name := range splitter.Names() {
 		if h.Sections[name] == "" {
 			return errors.NotValidf("configuration head of revision %d without section %s", h.Revision, name)
 		}
@@ -77,8 +81,8 @@
 	return data, errors.Trace(err)
 }
 
-// nonce identifies the write that led to this head.
-func (h *Head) nonce() string {
+// Nonce identifies the write that led to this head.
+func (h *Head) Nonce() string {
 	return h.History[0].Nonce
 }
 
@@ -92,9 +96,9 @@
 	return Change{}, false
 }
 
-// sectionsAt returns the section hashes of an earlier revision by undoing the
+// SectionsAt returns the section hashes of an earlier revision by undoing the
 // changes after it. It reports false if the history does not reach that far.
-func (h *Head) sectionsAt(revision int64) (map[string]string, bool) {
+func (h *Head) SectionsAt(revision int64) (map[string]string, bool) {
 	if revision > h.Revision || revision < 1 {
 		return nil, false
 	}
@@ -111,7 +115,7 @@
 }
 
 // next returns the head that follows h (nil for none) with the sections.
-func (h *Head) next(sections []validator.Section, c Change) *Head {
+func (h *Head) next(sections []splitter.Section, c Change) *Head {
 	n := &Head{Sections: map[string]string{}}
 	c.Replaced = map[string]string{}
 	previous := map[string]string{}
--- a/validator/section.go
+++ b/splitter/splitter.go
@@ -1,4 +1,7 @@
-package validator
+// Package splitter turns a configuration document into content-addressed
+// sections and back, so that a change transfers a section instead of the whole
+// document.
+package splitter
 
 import (
 	"crypto/sha256"
@@ -8,10 +11,10 @@
 	"slices"
 	"strings"
 
-	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale/hasher"
+	"github.com/bergamotdale/bergamotdale/validator"
 )
 
 // RoutingSection is the name of the section with everything but workspaces.
@@ -22,6 +25,9 @@
 // them.
 const WorkspaceSections = 16
 
+// MaxBytes is the largest value of the platform's store.
+const MaxBytes = 1 << 20
+
 // Section is a part of a document that is stored under its hash. Its data is
 // JSON: it is decoded faster than YAML, and a router that does not know a
 // newer field ignores it instead of refusing the revision during an upgrade.
@@ -32,14 +38,14 @@
 	Data []byte
 }
 
-// HashSection returns the hash under which section data is stored.
-func HashSection(data []byte) string {
+// Hash returns the hash under which section data is stored.
+func Hash(data []byte) string {
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:])
 }
 
-// SectionNames returns the names of all sections.
-func SectionNames() []string {
+// Names returns the names of all sections.
+func Names() []string {
 	names := []string{RoutingSection}
 	for i := range WorkspaceSections {
 		names = append(names, workspaceSection(i))
@@ -53,10 +59,10 @@
 
 // Split returns the sections of the document. Equal documents have equal
 // sections, whatever the layout of their YAML and the order of workspaces.
-func (d *Document) Split() ([]Section, error) {
+func Split(d *validator.Document) ([]Section, error) {
 	routing := *d
 	routing.Workspaces = nil
-	var parts [WorkspaceSections][]WorkspaceSpec
+	var parts [WorkspaceSections][]validator.WorkspaceSpec
 	for _, w := range d.Workspaces {
 		i := hasher.Hash(w.Name) % WorkspaceSections
 		parts[i] = append(parts[i], w)
@@ -83,19 +89,22 @@
 	if err != nil {
 		return Section{}, errors.Annotatef(err, "section %s", name)
 	}
-	return Section{Name: name, Hash: HashSection(data), Data: data}, nil
+	if len(data) > MaxBytes {
+		return Section{}, errors.NotValidf("section %s with %d bytes, more than the %d of the store,", name, len(data), MaxBytes)
+	}
+	return Section{Name: name, Hash: Hash(data), Data: data}, nil
 }
 
 // Join returns the document of the sections, whose data is found by name.
 // Workspaces are in the order of their names.
-func Join(data map[string][]byte) (*Document, error) {
-	d := &Document{}
-	for _, name := range SectionNames() {
+func Join(data map[string][]byte) (*validator.Document, error) {
+	d := &validator.Document{}
+	for _, name := range Names() {
 		section, ok := data[name]
 		if !ok {
 			return nil, errors.NotFoundf("section %s", name)
 		}
-		if err := d.decodeSection(name, section); err != nil {
+		if err := decodeSection(d, name, section); err != nil {
 			return nil, errors.Annotatef(err, "section %s", name)
 		}
 	}
@@ -103,11 +112,11 @@
 	return d, nil
 }
 
-func (d *Document) decodeSection(name string, data []byte) error {
+func decodeSection(d *validator.Document, name string, data []byte) error {
 	if name == RoutingSection {
 		return json.Unmarshal(data, d)
 	}
-	var part []WorkspaceSpec
+	var part []validator.WorkspaceSpec
 	if err := json.Unmarshal(data, &part); err != nil {
 		return err
 	}
@@ -115,12 +124,6 @@
 	return nil
 }
 
-func sortSpecs(all []WorkspaceSpec) {
-	slices.SortFunc(all, func(a, b WorkspaceSpec) int { return strings.Compare(a.Name, b.Name) })
-}
-
-// YAML returns the document as operators write it, without comments.
-func (d *Document) YAML() ([]byte, error) {
-	text, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true))
-	return text, errors.Trace(err)
+func sortSpecs(all []validator.WorkspaceSpec) {
+	slices.SortFunc(all, func(a, b validator.WorkspaceSpec) int { return strings.Compare(a.Name, b.Name) })
 }
--- a/validator/check.go
+++ b/validator/check.go
@@ -3,22 +3,22 @@
 import (
 	"math"
 
-	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/decoder"
 )
 
 // checker reports what a single field cannot show: repeated names and
 // addresses, references to nothing, and sums.
 type checker struct {
 	doc *Document
-	src *loader.Source
+	src *decoder.Source
 	// first holds where each unique value was seen first, by kind and value.
-	first map[unique]loader.Path
+	first map[unique]decoder.Path
 }
 
 type unique struct{ kind, value string }
 
-func check(d *Document, src *loader.Source) {
-	c := &checker{doc: d, src: src, first: map[unique]loader.Path{}}
+func check(d *Document, src *decoder.Source) {
+	c := &checker{doc: d, src: src, first: map[unique]decoder.Path{}}
 	c.checkPriorityClasses()
 	c.checkModels()
 	c.checkEngines()
@@ -28,7 +28,7 @@
 
 // once reports a value of the kind that was seen before. Empty values have
 // been reported by the loader.
-func (c *checker) once(kind, value string, path loader.Path) {
+func (c *checker) once(kind, value string, path decoder.Path) {
 	if value == "" {
 		return
 	}
@@ -41,7 +41,7 @@
 }
 
 // reference reports a value that no earlier once call with the kind has seen.
-func (c *checker) reference(kind, value string, path loader.Path) {
+func (c *checker) reference(kind, value string, path decoder.Path) {
 	if _, ok := c.first[unique{kind, value}]; !ok && value != "" {
 		c.src.Report(path, "a declared "+kind, "the %s %q is unknown", kind, value)
 	}
@@ -51,7 +51,7 @@
 	levels := map[int]string{}
 	sum := 0.0
 	for i, p := range c.doc.PriorityClasses {
-		path := loader.At("priority-classes", i)
+		path := decoder.At("priority-classes", i)
 		c.once("priority class", p.Name, path.With("name"))
 		if other, ok := levels[p.Level]; ok {
 			c.src.Report(path.With("level"), "a level of its own", "level %d is already used by %q", p.Level, other)
@@ -62,25 +62,25 @@
 	// The tolerance admits decimal fractions such as three times 1/3.
 	const tolerance = 1e-9
 	if sum > 1+tolerance {
-		c.src.Report(loader.At("priority-classes"), "a sum of at most 1",
+		c.src.Report(decoder.At("priority-classes"), "a sum of at most 1",
 			"the minimum shares add up to %g", math.Round(sum*1e6)/1e6)
 	}
 }
 
 func (c *checker) checkModels() {
 	for i, m := range c.doc.Models {
-		c.once("model", m.Name, loader.At("models", i, "name"))
+		c.once("model", m.Name, decoder.At("models", i, "name"))
 	}
 	// Adapters are resolved against models alone before their own names join
 	// the same namespace: an adapter of an adapter is a fault.
 	for i, a := range c.doc.Adapters {
-		c.reference("model", a.Model, loader.At("adapters", i, "model"))
+		c.reference("model", a.Model, decoder.At("adapters", i, "model"))
 	}
 }
 
 func (c *checker) checkEngines() {
 	for i, e := range c.doc.Engines {
-		path := loader.At("engines", i)
+		path := decoder.At("engines", i)
 		c.once("endpoint name", e.Name, path.With("name"))
 		c.once("address", e.Address, path.With("address"))
 		for j, m := range e.Models {
@@ -89,13 +89,13 @@
 		c.repeated(e.Models, path.With("models"))
 	}
 	for i, a := range c.doc.Adapters {
-		c.once("model", a.Name, loader.At("adapters", i, "name"))
+		c.once("model", a.Name, decoder.At("adapters", i, "name"))
 	}
 }
 
 func (c *checker) checkServices() {
 	for i, s := range c.doc.Services {
-		path := loader.At("services", i)
+		path := decoder.At("services", i)
 		c.once("service", s.Name, path.With("name"))
 		for j, e := range s.Endpoints {
 			c.once("endpoint name", e.Name, path.With("endpoints", j, "name"))
@@ -111,7 +111,7 @@
 
 func (c *checker) checkWorkspaces() {
 	for i, w := range c.doc.Workspaces {
-		path := loader.At("workspaces", i)
+		path := decoder.At("workspaces", i)
 		c.once("workspace", w.Name, path.With("name"))
 		c.reference("priority class", w.DefaultPriorityClass, path.With("default-priority-class"))
 		for j, m := range w.Models {
@@ -125,7 +125,7 @@
 }
 
 // repeated reports values that appear twice in one list.
-func (c *checker) repeated(values []string, path loader.Path) {
+func (c *checker) repeated(values []string, path decoder.Path) {
 	seen := map[string]bool{}
 	for i, v := range values {
 		if v != "" && seen[v] {
--- a/validator/config.go
+++ b/validator/config.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/samber/lo"
 
-	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/decoder"
 )
 
 // Config is the compiled configuration of one revision. It never changes.
@@ -37,9 +37,9 @@
 
 // Compile returns the immutable form of a document. It repeats the checks of
 // references, so that a document that did not come from Parse is refused with
-// loader.Problems and never compiled with missing parts.
+// decoder.Problems and never compiled with missing parts.
 func Compile(d *Document, revision int64) (*Config, error) {
-	src := loader.Unpositioned(fmt.Sprintf("revision %d", revision))
+	src := decoder.Unpositioned(fmt.Sprintf("revision %d", revision))
 	check(d, src)
 	if err := src.Err(); err != nil {
 		return nil, err
--- a/validator/doc.go
+++ b/validator/doc.go
@@ -2,10 +2,7 @@
 // the immutable form that traffic reads.
 //
 // A Document is the configuration as operators write it. Parse reads it
-// strictly and reports all faults at once with their positions. Split turns a
-// document into content-addressed sections (routing, workspaces-00 to
-// workspaces-15), Join reads them back, and Compare lists the differences
-// between two documents.
+// strictly and reports all faults at once with their positions.
 //
 // A Config is compiled from a document. It never changes, so any number of
 // goroutines read it without locks; a new revision is a new Config.
--- a/validator/document.go
+++ b/validator/document.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
-	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale/decoder"
 )
 
 // Document is the operators' configuration as written.
@@ -111,7 +114,7 @@
 	IdempotencyRecordLifetime time.Duration `yaml:"idempotency-record-lifetime" json:"idempotency-record-lifetime" min:"1m" max:"168h"`
 }
 
-// SetDefaults implements loader.Defaulter.
+// SetDefaults implements decoder.Defaulter.
 func (l *LimitsSpec) SetDefaults() {
 	l.LoadMultiple = 1.25
 	l.MaxStreamDuration = 10 * time.Minute
@@ -121,30 +124,17 @@
 	l.IdempotencyRecordLifetime = 24 * time.Hour
 }
 
-// SetDefaults implements loader.Defaulter.
+// SetDefaults implements decoder.Defaulter.
 func (d *Document) SetDefaults() {
 	d.Limits.SetDefaults()
 }
 
-// Rule is a check beyond those that every document must pass. It reports to
-// the source.
-type Rule func(*Document, *loader.Source)
-
-// StreamsEndBefore returns the rule that the longest accepted stream ends
-// within the drain deadline of a router, so that a planned stop interrupts
-// none (D13).
-func StreamsEndBefore(drainDeadline time.Duration) Rule {
-	return func(d *Document, src *loader.Source) {
-		if d.Limits.MaxStreamDuration >= drainDeadline {
-			src.Report(loader.At("limits", "max-stream-duration"), "less than the drain-deadline of the routers, "+drainDeadline.String(),
-				"a stream of %s could outlive a planned stop", d.Limits.MaxStreamDuration)
-		}
-	}
-}
+// Rule is a check beyond those that every document must pass.
+type Rule func(*Document, *decoder.Source)
 
-// Parse reads a document strictly. The error holds all loader.Problems.
+// Parse reads a document strictly. The error holds all decoder.Problems.
 func Parse(file string, data []byte, rules ...Rule) (*Document, error) {
-	src := loader.Parse(file, data)
+	src := decoder.Parse(file, data)
 	d := &Document{}
 	src.Decode(d)
 	check(d, src)
@@ -156,3 +146,9 @@
 	}
 	return d, nil
 }
+
+// YAML returns the document as operators write it, without comments.
+func (d *Document) YAML() ([]byte, error) {
+	text, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true))
+	return text, errors.Trace(err)
+}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/bergamotdale/bergamotdale/differ"
+	"github.com/bergamotdale/bergamotdale/splitter"
 	"github.com/bergamotdale/bergamotdale/validator"
 )
 
@@ -102,13 +104,13 @@
 // and against sections that depend on the order of workspaces.
 func TestSectionsAndTextKeepTheDocument(t *testing.T) {
 	d := target()
-	sections, err := d.Split()
+	sections, err := splitter.Split(d)
 	assert.NilError(t, err)
 	shuffled := target()
 	rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled.Workspaces), func(i, j int) {
 		shuffled.Workspaces[i], shuffled.Workspaces[j] = shuffled.Workspaces[j], shuffled.Workspaces[i]
 	})
-	again, err := shuffled.Split()
+	again, err := splitter.Split(shuffled)
 	assert.NilError(t, err)
 	assert.Assert(t, reflect.DeepEqual(sections, again))
 
@@ -117,7 +119,7 @@
 		data[s.Name] = s.Data
 		assert.Assert(t, len(s.Data) < 200<<10, "%s has %d bytes", s.Name, len(s.Data))
 	}
-	joined, err := validator.Join(data)
+	joined, err := splitter.Join(data)
 	assert.NilError(t, err)
 	assert.Assert(t, reflect.DeepEqual(joined, d))
 
@@ -125,7 +127,7 @@
 	assert.NilError(t, err)
 	parsed, err := validator.Parse("printed", text)
 	assert.NilError(t, err)
-	assert.Equal(t, len(validator.Compare(d, parsed)), 0)
+	assert.Equal(t, len(differ.Compare(d, parsed)), 0)
 }
 
 // Guards against a malformed document from the store that panics the router.
@@ -147,13 +149,13 @@
 func TestCompare(t *testing.T) {
 	before, after := target(), target()
 	after.Engines[0], after.Engines[1] = after.Engines[1], after.Engines[0]
-	assert.Equal(t, len(validator.Compare(before, after)), 0)
+	assert.Equal(t, len(differ.Compare(before, after)), 0)
 
 	after.Workspaces[3].Weight = 2.5
 	after.Models = append(after.Models[1:], validator.ModelSpec{Name: "model-new"})
 	after.Limits.RetryRatio = 0.2
 	var lines []string
-	for _, d := range validator.Compare(before, after) {
+	for _, d := range differ.Compare(before, after) {
 		lines = append(lines, d.String())
 	}
 	assert.DeepEqual(t, lines, []string{
@@ -166,7 +168,7 @@
 
 // Bounds the cost of bringing a revision of the target size in force.
 func BenchmarkJoinAndCompile(b *testing.B) {
-	sections, err := target().Split()
+	sections, err := splitter.Split(target())
 	assert.NilError(b, err)
 	data := map[string][]byte{}
 	for _, s := range sections {
@@ -174,7 +176,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		d, err := validator.Join(data)
+		d, err := splitter.Join(data)
 		assert.NilError(b, err)
 		_, err = validator.Compile(d, 1)
 		assert.NilError(b, err)
