committer: cache of the last sealed segment, stricter model of ownership

Cause: a client that repeats one sealed key read 64 KB from the store each time, also while the store was down. Records were hashed several times per call. Change: the last sealed segment read is kept; a repeat of another one is refused at once while the store is down. Records carry their hashes. Held in the model is bound to the epoch. List and Delete of paused or crashed processes wait or fail in the model.

--- a/committer/access.go
+++ b/committer/access.go
@@ -10,6 +10,9 @@
 	"github.com/bergamotdale/bergamotdale"
 )
 
+// listTimeout bounds the listing of all segments, which may be tens of MB.
+const listTimeout = 10 * time.Second
+
 // errNotLanded is returned for a write that has had no effect when its key was
 // read back. It may still take effect.
 const errNotLanded = errors.ConstError("write without effect so far")
@@ -47,12 +50,9 @@
 
 // list returns the stored segments by key.
 func (s *Shard) list(ctx context.Context) (map[string]bergamotdale.Entry, error) {
-	var entries []bergamotdale.Entry
-	err := s.bounded(ctx, func(ctx context.Context) error {
-		var err error
-		entries, err = s.settings.Store.List(ctx, segmentPrefix(s.settings.Number))
-		return err
-	})
+	ctx, cancel := withTimeout(ctx, s.settings.Clock, listTimeout)
+	defer cancel()
+	entries, err := s.settings.Store.List(ctx, segmentPrefix(s.settings.Number))
 	byKey := make(map[string]bergamotdale.Entry, len(entries))
 	for _, e := range entries {
 		byKey[e.Key] = e
--- a/committer/bench_test.go
+++ b/committer/bench_test.go
@@ -99,6 +99,18 @@
 	return sum
 }
 
+// storedBytes returns the size of all journals in the store.
+func (f *fleet) storedBytes(b *testing.B) (sum float64) {
+	entries, err := f.store.List(context.Background(), "shard/")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, e := range entries {
+		sum += float64(len(e.Value))
+	}
+	return sum
+}
+
 func cpuTime() time.Duration {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
@@ -179,7 +191,7 @@
 		took := time.Since(start)
 		b.ReportMetric((heap()-before)/records, "B/record")
 		b.ReportMetric(float64(took.Milliseconds())/committer.Shards, "open-ms/shard")
-		b.ReportMetric(float64(f.stats().Records), "records")
+		b.ReportMetric(f.storedBytes(b)/records, "stored-B/record")
 	}
 	f.cancel()
 }
--- a/committer/execute.go
+++ b/committer/execute.go
@@ -44,18 +44,19 @@
 // join returns the flight of the request, and true where the caller has to
 // run it. It returns no flight where the response is known at once.
 func (s *Shard) join(ctx context.Context, r Request) (*flight, bool, Response, error) {
-	id, hash := r.id(), r.bodyHash()
+	wanted := newRecord(r)
+	id, hash := wanted.id, wanted.hash
 	s.lock.Lock()
 	if f := s.flights[id]; f != nil {
 		defer s.lock.Unlock()
-		if f.hash != hash {
+		if f.record.hash != hash {
 			return nil, false, Response{}, keyReused()
 		}
 		return f, false, Response{}, nil
 	}
 	if q, ok := s.unrecorded(id); ok {
 		defer s.lock.Unlock()
-		if stored, err := q.record.hash(); err != nil || stored != hash {
+		if q.record.hash != hash {
 			return nil, false, Response{}, keyReused()
 		}
 		response, err := repeated(q.record, false)
@@ -68,7 +69,7 @@
 		if refusal := s.closed(ctx); refusal != nil {
 			return nil, false, Response{}, refusal
 		}
-		return s.start(r, id, hash), true, Response{}, nil
+		return s.start(wanted), true, Response{}, nil
 	}
 	if e.hash != hash {
 		defer s.lock.Unlock()
@@ -139,16 +140,14 @@
 }
 
 // start creates the flight of a key and queues its intent.
-func (s *Shard) start(r Request, id recordID, hash bodyHash) *flight {
+func (s *Shard) start(r record) *flight {
 	f := &flight{
-		request: r,
-		id:      id,
-		hash:    hash,
-		grant:   make(chan struct{}),
-		done:    make(chan struct{}),
-	}
-	s.flights[id] = f
-	s.enqueue(newRecord(r, intent, s.now()), f)
+		record: r,
+		grant:  make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+	s.flights[r.id] = f
+	s.enqueue(r.in(intent, s.now()), f)
 	return f
 }
 
@@ -183,7 +182,7 @@
 		s.abandon(ctx, f)
 		return false
 	}
-	if f.phase != granted || s.journal.index[f.id].state != intent {
+	if f.phase != granted || s.journal.index[f.record.id].state != intent {
 		panic("committer: call without a committed intent, or started twice")
 	}
 	f.phase = running
@@ -195,14 +194,14 @@
 func (s *Shard) abandon(ctx context.Context, f *flight) {
 	f.refusal = s.tooLate(ctx)
 	f.abandoned = true
-	if q, ok := s.queue[f.id]; ok && q.flight == f {
-		s.dequeue(f.id)
+	if q, ok := s.queue[f.record.id]; ok && q.flight == f {
+		s.dequeue(f.record.id)
 	}
 	if f.phase == granted {
-		s.journal.setState(f.id, unused)
+		s.journal.setState(f.record.id, unused)
 	}
 	s.finish(f)
-	s.release(f.request)
+	s.release(f.record)
 }
 
 func (s *Shard) dequeue(id recordID) {
@@ -230,13 +229,13 @@
 	} else {
 		f.response = Response{ServiceResponse: response}
 	}
-	r := newRecord(f.request, notKept, s.now())
+	r := f.record.in(notKept, s.now())
 	switch {
 	case err == nil:
 		r = r.withResponse(response)
 	case outcome == bergamotdale.OutcomeNotRun:
 		r.State = free
-		s.journal.setState(f.id, unused)
+		s.journal.setState(f.record.id, unused)
 	case outcome != bergamotdale.OutcomeRun:
 		// The committed intent states what is known.
 		s.finish(f)
@@ -350,14 +349,14 @@
 
 // fetch reads the line of a record from a sealed segment.
 func (s *Shard) fetch(ctx context.Context, id recordID, sealed segment) ([]byte, error) {
-	stored, err := s.get(ctx, segmentKey(s.settings.Number, sealed))
+	value, err := s.sealedValue(ctx, sealed)
 	if err != nil {
 		return nil, err
 	}
-	_, lines, _ := bytes.Cut(stored.Value, []byte("\n"))
+	_, lines, _ := bytes.Cut(value, []byte("\n"))
 	var text []byte
 	err = eachRecord(lines, func(r record, line []byte) error {
-		if r.id() == id {
+		if r.id == id {
 			text = line
 		}
 		return nil
@@ -368,6 +367,28 @@
 	return text, err
 }
 
+// sealedValue returns the value of a sealed segment. The last one read is kept,
+// so a client that repeats one key often costs one read.
+func (s *Shard) sealedValue(ctx context.Context, sealed segment) ([]byte, error) {
+	s.lock.Lock()
+	kept, down := s.fetched, s.down
+	s.lock.Unlock()
+	if kept.value != nil && kept.number == sealed.Number {
+		return kept.value, nil
+	}
+	if down {
+		return nil, bergamotdale.ErrUnavailable
+	}
+	stored, err := s.get(ctx, segmentKey(s.settings.Number, sealed))
+	if err != nil {
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.fetched = fetched{number: sealed.Number, value: stored.Value}
+	return stored.Value, nil
+}
+
 // repeated returns the response to a repeat of an executed call.
 func repeated(r record, recorded bool) (Response, error) {
 	if r.State == notKept {
--- a/committer/journal.go
+++ b/committer/journal.go
@@ -58,18 +58,13 @@
 // load adds the lines of a segment, in the order of the segments.
 func (j *journal) load(number int64, lines []byte, now int64) error {
 	return eachRecord(lines, func(r record, text []byte) error {
-		hash, err := r.hash()
-		if err != nil {
-			return err
-		}
 		j.latest = max(j.latest, r.At)
 		if j.expired(r.At, now) {
 			return nil
 		}
-		id := r.id()
-		j.index[id] = entry{at: r.At, segment: number, hash: hash, state: r.State}
+		j.index[r.id] = entry{at: r.At, segment: number, hash: r.hash, state: r.State}
 		if number == j.head.Number {
-			j.open = append(j.open, line{id: id, at: r.At, text: bytes.Clone(text)})
+			j.open = append(j.open, line{id: r.id, at: r.At, text: bytes.Clone(text)})
 			j.openBytes += len(text)
 		}
 		return nil
--- a/committer/loop.go
+++ b/committer/loop.go
@@ -151,10 +151,9 @@
 func additions(batch []queued) []addition {
 	all := make([]addition, 0, len(batch))
 	for _, q := range batch {
-		hash, _ := q.record.hash()
 		all = append(all, addition{
-			line:  line{id: q.record.id(), at: q.record.At, text: q.text},
-			hash:  hash,
+			line:  line{id: q.record.id, at: q.record.At, text: q.text},
+			hash:  q.record.hash,
 			state: q.record.State,
 		})
 	}
@@ -253,8 +252,8 @@
 			s.finish(f)
 		}
 	case f.ended:
-		s.journal.setState(f.id, unused)
-		s.release(f.request)
+		s.journal.setState(f.record.id, unused)
+		s.release(f.record)
 	default:
 		f.phase = granted
 		close(f.grant)
@@ -296,13 +295,13 @@
 			f.refusal = refusal()
 		}
 		s.finish(f)
-		s.release(f.request)
+		s.release(f.record)
 	}
 }
 
-// requeue queues a record again. A later record of the same key wins.
+// requeue queues a record. It replaces a queued record of the same key.
 func (s *Shard) requeue(q queued) {
-	id := q.record.id()
+	id := q.record.id
 	if _, ok := s.queue[id]; !ok {
 		s.order = append(s.order, id)
 	}
--- a/committer/model_test.go
+++ b/committer/model_test.go
@@ -56,8 +56,6 @@
 	cancel  context.CancelFunc
 	crashed bool
 	opening bool
-	// held is false from the moment at which another process may claim.
-	held bool
 	// resume is not nil while the process is paused.
 	resume chan struct{}
 }
@@ -144,6 +142,20 @@
 	return s.Store.Get(ctx, key)
 }
 
+func (s faultyStore) List(ctx context.Context, prefix string) ([]bergamotdale.Entry, error) {
+	if err := s.process.blocked(); err != nil {
+		return nil, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s faultyStore) Delete(ctx context.Context, key string, version int64) error {
+	if err := s.process.blocked(); err != nil {
+		return err
+	}
+	return s.Store.Delete(ctx, key, version)
+}
+
 func (s faultyStore) CompareAndSwap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
 	p := s.process
 	f := p.world.nextFault()
@@ -179,7 +191,7 @@
 }
 
 // open makes the process the owner under a new epoch.
-func (w *world) open(p *process, others ...*process) {
+func (w *world) open(p *process) {
 	w.lock.Lock()
 	if p.opening {
 		w.lock.Unlock()
@@ -188,10 +200,6 @@
 	p.opening = true
 	w.epoch++
 	epoch := w.epoch
-	for _, o := range others {
-		o.held = false
-	}
-	p.held = true
 	w.lock.Unlock()
 	if p.cancel != nil {
 		p.cancel()
@@ -206,7 +214,7 @@
 		Held: func() bool {
 			w.lock.Lock()
 			defer w.lock.Unlock()
-			return p.held
+			return w.epoch == epoch
 		},
 	})
 	w.lock.Lock()
@@ -349,7 +357,7 @@
 	w.faults = rapid.SliceOfN(rapid.SampledFrom(faults), 0, 40).Draw(t, "faults")
 	defer w.close()
 	all := []*process{w.process(), w.process()}
-	w.requests.Go(func() { w.open(all[0], all[1]) })
+	w.requests.Go(func() { w.open(all[0]) })
 	synctest.Wait()
 	drawProcess := func() int { return rapid.IntRange(0, 1).Draw(t, "process") }
 	actions := map[string]func(*rapid.T){
@@ -370,8 +378,8 @@
 			if all[i].crashed {
 				all[i] = w.process()
 			}
-			p, o := all[i], all[1-i]
-			w.requests.Go(func() { w.open(p, o) })
+			p := all[i]
+			w.requests.Go(func() { w.open(p) })
 			synctest.Wait()
 		},
 		"crash":       func(*rapid.T) { all[drawProcess()].crash() },
@@ -406,7 +414,7 @@
 		p.unpause()
 	}
 	<-w.clock.After(10 * time.Second)
-	w.open(last, all...)
+	w.open(last)
 	for _, key := range []string{"a", "b", "c", "new"} {
 		w.request(last, key, responds, 0, time.Minute)
 	}
--- a/committer/record.go
+++ b/committer/record.go
@@ -94,20 +94,32 @@
 	// Response is the body of the response. It is a string because JSON inside
 	// JSON would be reformatted.
 	Response string `json:"response,omitempty"`
+
+	// id and hash are derived from the fields above.
+	id   recordID
+	hash bodyHash
 }
 
-func newRecord(r Request, s state, at int64) record {
+// newRecord returns a record of the request without state and time.
+func newRecord(r Request) record {
 	hash := r.bodyHash()
 	return record{
 		Workspace: r.Workspace,
 		Service:   r.Service,
 		Key:       r.Key,
 		Body:      hex.EncodeToString(hash[:]),
-		State:     s,
-		At:        at,
+		id:        r.id(),
+		hash:      hash,
 	}
 }
 
+// in returns the record with a state and its time.
+func (r record) in(s state, at int64) record {
+	r.State = s
+	r.At = at
+	return r
+}
+
 // withResponse returns the record of a call that was executed.
 func (r record) withResponse(response bergamotdale.ServiceResponse) record {
 	r.State = notKept
@@ -119,17 +131,14 @@
 	return r
 }
 
-func (r record) id() recordID {
-	return Request{Workspace: r.Workspace, Service: r.Service, Key: r.Key}.id()
-}
-
-func (r record) hash() (bodyHash, error) {
-	var h bodyHash
-	n, err := hex.Decode(h[:], []byte(r.Body))
-	if err != nil || n != len(h) {
-		return h, errors.Annotatef(ErrCorrupt, "body hash %q", r.Body)
+// derive sets the fields that are not stored.
+func (r *record) derive() error {
+	r.id = Request{Workspace: r.Workspace, Service: r.Service, Key: r.Key}.id()
+	if hex.DecodedLen(len(r.Body)) != len(r.hash) {
+		return errors.Errorf("body hash %q", r.Body)
 	}
-	return h, nil
+	_, err := hex.Decode(r.hash[:], []byte(r.Body))
+	return errors.Trace(err)
 }
 
 func (r record) serviceResponse() bergamotdale.ServiceResponse {
@@ -191,7 +200,11 @@
 			return errors.Annotatef(ErrCorrupt, "record without an end")
 		}
 		var r record
-		if err := json.Unmarshal(lines[:end], &r); err != nil {
+		err := json.Unmarshal(lines[:end], &r)
+		if err == nil {
+			err = r.derive()
+		}
+		if err != nil {
 			return errors.Annotatef(ErrCorrupt, "record: %v", err)
 		}
 		if err := f(r, lines[:end]); err != nil {
--- a/committer/shard.go
+++ b/committer/shard.go
@@ -48,6 +48,14 @@
 	// idle is closed when nothing is in progress; nil while nobody waits.
 	idle  chan struct{}
 	stats Stats
+	// fetched is the sealed segment that was read last, for repeats.
+	fetched fetched
+}
+
+// fetched is the value of a sealed segment, which never changes.
+type fetched struct {
+	number int64
+	value  []byte
 }
 
 // queued is a record that waits for its commit.
@@ -75,10 +83,9 @@
 
 // flight is a call in progress. The lock of the shard guards it.
 type flight struct {
-	request Request
-	id      recordID
-	hash    bodyHash
-	phase   phase
+	// record is the record of the request without state and time.
+	record record
+	phase  phase
 	// grant is closed when the phase leaves waiting, done at the end.
 	grant, done chan struct{}
 	// ended is true once done is closed; the result does not change then.
@@ -195,25 +202,20 @@
 		// Records hold only strings and numbers.
 		panic(err)
 	}
-	id := r.id()
-	if _, ok := s.queue[id]; !ok {
-		s.order = append(s.order, id)
-	}
-	s.queue[id] = queued{record: r, text: text, flight: f}
+	s.requeue(queued{record: r, text: text, flight: f})
 	s.notify()
 }
 
 // release queues a free record for a committed intent whose call never runs,
 // unless a flight of the key is about to replace it.
-func (s *Shard) release(r Request) {
-	id := r.id()
-	if s.stopped || s.flights[id] != nil || s.journal.index[id].state != unused {
+func (s *Shard) release(r record) {
+	if s.stopped || s.flights[r.id] != nil || s.journal.index[r.id].state != unused {
 		return
 	}
-	if _, ok := s.queue[id]; ok {
+	if _, ok := s.queue[r.id]; ok {
 		return
 	}
-	s.enqueue(newRecord(r, free, s.now()), nil)
+	s.enqueue(r.in(free, s.now()), nil)
 }
 
 // finish ends a flight with its result.
@@ -222,8 +224,8 @@
 		return
 	}
 	f.ended = true
-	if s.flights[f.id] == f {
-		delete(s.flights, f.id)
+	if s.flights[f.record.id] == f {
+		delete(s.flights, f.record.id)
 	}
 	if f.phase == waiting {
 		close(f.grant)
--- a/committer/shard_test.go
+++ b/committer/shard_test.go
@@ -220,6 +220,9 @@
 		_, err := committer.Open(context.Background(), x.settings)
 		assert.ErrorIs(t, err, committer.ErrFenced)
 		assert.Assert(t, !old.Fenced())
+		x.settings.Epoch++
+		_, err = committer.Open(context.Background(), x.settings)
+		assert.ErrorIs(t, err, committer.ErrFenced)
 	})
 }
 
