--- a/engineclient/engineclient.go
+++ b/engineclient/engineclient.go
@@ -113,6 +113,9 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return bergamotdale.CodeEndpointRefused
 	}
+	if status < http.StatusInternalServerError {
+		return bergamotdale.CodeEndpointRefused
+	}
 	return bergamotdale.CodeEndpointFailed
 }
 
--- a/engineclient/engineclient_test.go
+++ b/engineclient/engineclient_test.go
@@ -3,16 +3,25 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/engineclient"
 	"github.com/bergamotdale/bergamotdale/enginegenerator"
 	"github.com/bergamotdale/bergamotdale/engineserver"
+	"github.com/bergamotdale/bergamotdale/injector"
 )
 
 const body = `{"model":"m","max_tokens":20,"messages":[{"role":"user","content":"how many sheets?"}]}`
@@ -20,6 +29,9 @@
 func start(t *testing.T, s *engineserver.Server) string {
 	h := httptest.NewServer(s.Handler())
 	t.Cleanup(h.Close)
+	if s.Faults != nil {
+		t.Cleanup(s.Faults.Stop)
+	}
 	return strings.TrimPrefix(h.URL, "http://")
 }
 
@@ -35,6 +47,102 @@
 	}
 }
 
+// Guards against a wrong code or outcome for each way in which a completion
+// can fail.
+func TestFailures(t *testing.T) {
+	const request = `{"model":"%s","max_tokens":1000000,"messages":[{"role":"user","content":"x"}]}`
+	for _, tc := range []struct {
+		name    string
+		model   string
+		fault   injector.Kind
+		code    bergamotdale.Code
+		outcome bergamotdale.Outcome
+		starts  int
+	}{
+		{"refused", "m", injector.Refuse, bergamotdale.CodeEndpointRefused, bergamotdale.OutcomeNotRun, 0},
+		{"unknown model", "x", "", bergamotdale.CodeUnknownModel, bergamotdale.OutcomeNotRun, 0},
+		{"cut before the response", "m", injector.Outage, bergamotdale.CodeEndpointFailed, bergamotdale.OutcomeUnknown, 0},
+		{"never answered", "m", injector.Drop, bergamotdale.CodeEndpointFailed, bergamotdale.OutcomeUnknown, 0},
+		{"cut in the stream", "m", injector.Cut, bergamotdale.CodeStreamLost, bergamotdale.OutcomeUnknown, 1},
+		{"silent in the stream", "m", injector.Silence, bergamotdale.CodeStreamLost, bergamotdale.OutcomeUnknown, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &engineserver.Server{Models: []string{"m"}, Faults: &injector.Injector{}}
+			c := &engineclient.Client{Silence: 200 * time.Millisecond}
+			address := start(t, s)
+			once := tc.fault == injector.Cut || tc.fault == injector.Silence
+			if tc.fault != "" && !once {
+				s.Faults.Add(injector.Fault{Kind: tc.fault})
+			}
+			r := bergamotdale.EngineRequest{RequestID: "1", Body: json.RawMessage(fmt.Sprintf(request, tc.model))}
+			stream, err := c.Complete(context.Background(), address, r)
+			if once {
+				assert.NilError(t, err)
+				defer stream.Close()
+				for f := (bergamotdale.Frame{}); f.Kind != bergamotdale.FrameData; f, err = stream.Next() {
+					assert.NilError(t, err)
+				}
+				s.Faults.Add(injector.Fault{Kind: tc.fault})
+				for err == nil {
+					_, err = stream.Next()
+				}
+			}
+			refusal := &bergamotdale.Refusal{}
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Code, tc.code)
+			assert.Equal(t, refusal.Outcome, tc.outcome)
+			assert.Equal(t, s.Counters().Starts["1"], tc.starts)
+		})
+	}
+	_, err := (&engineclient.Client{}).Load(context.Background(), "127.0.0.1:1")
+	refusal := &bergamotdale.Refusal{}
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeNotRun)
+}
+
+// Guards against a stream without heartbeats while no token is ready, and
+// against a connection that isn't used again after a complete stream.
+func TestHeartbeatsAndReuse(t *testing.T) {
+	s := &engineserver.Server{PrefillRate: 100, TokenRate: 1e6, Heartbeat: 5 * time.Millisecond}
+	h := httptest.NewUnstartedServer(s.Handler())
+	var opened, idle atomic.Int64
+	h.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+		if state == http.StateIdle {
+			idle.Add(1)
+		}
+	}
+	h.Start()
+	defer h.Close()
+	c := &engineclient.Client{}
+	for n := range 3 {
+		r := bergamotdale.EngineRequest{RequestID: fmt.Sprint(n), Body: json.RawMessage(body)}
+		stream, err := c.Complete(context.Background(), h.Listener.Addr().String(), r)
+		assert.NilError(t, err)
+		if n == 0 {
+			for range 3 {
+				f, err := stream.Next()
+				assert.NilError(t, err)
+				assert.Equal(t, f.Kind, bergamotdale.FrameHeartbeat)
+			}
+		}
+		tokens, _ := read(t, stream)
+		assert.Equal(t, len(tokens), 20)
+		_, err = stream.Next()
+		assert.Assert(t, errors.Is(err, io.EOF))
+		assert.NilError(t, stream.Close())
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if idle.Load() == int64(n+1) {
+				return poll.Success()
+			}
+			return poll.Continue("%d times idle", idle.Load())
+		}, poll.WithDelay(time.Millisecond))
+	}
+	assert.Equal(t, opened.Load(), int64(1))
+}
+
 // Guards against a resumed stream that differs from the original one.
 func TestResumeAtAnotherEngine(t *testing.T) {
 	c, ctx := &engineclient.Client{}, context.Background()
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -203,7 +203,14 @@
 	s.done = true
 	s.end.Kind = bergamotdale.FrameEnd
 	s.end.Offset, s.end.Length = s.offset, s.offset
-	_ = s.Close()
+	go s.drain()
+}
+
+// drain reads to the end of the body, so that the connection can be used
+// again. The watchdog bounds the time that this takes.
+func (s *stream) drain() {
+	_, _ = io.CopyN(io.Discard, s.lines, readBuffer)
+	_ = s.release()
 }
 
 // lost converts the error of a stream that was cut.
@@ -211,7 +218,7 @@
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
 	}
-	_ = s.Close()
+	_ = s.release()
 	r := bergamotdale.Refuse(bergamotdale.CodeStreamLost, "engine stream cut after %d tokens", s.offset)
 	s.failure = r.WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
 	return s.failure
@@ -219,6 +226,13 @@
 
 // Close implements bergamotdale.FrameStream.
 func (s *stream) Close() error {
+	if s.done {
+		return nil
+	}
+	return s.release()
+}
+
+func (s *stream) release() error {
 	s.watchdog.Stop()
 	s.cancel(nil)
 	return errors.Trace(s.body.Close())
--- a/injector/injector.go
+++ b/injector/injector.go
@@ -75,6 +75,15 @@
 	i.removeIf(func(Fault) bool { return true })
 }
 
+// Stop cuts the running requests. Those on silent connections go on after
+// their clients are gone, so a httptest.Server that has any must be stopped
+// before it is closed. Serve does so itself.
+func (i *Injector) Stop() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cutAll()
+}
+
 // Faults returns the faults in force.
 func (i *Injector) Faults() []Fault {
 	i.mu.Lock()
--- a/injector/serve.go
+++ b/injector/serve.go
@@ -44,7 +44,7 @@
 	}
 	group.Go(func() error {
 		<-ctx.Done()
-		i.stop()
+		i.Stop()
 		cancel()
 		return shutdown(servers)
 	})
@@ -164,13 +164,6 @@
 	return errors.Trace(err)
 }
 
-// stop cuts the running requests, including those on silent connections.
-func (i *Injector) stop() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.cutAll()
-}
-
 func (i *Injector) addConn() *conn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
