--- a/follower/fault_test.go
+++ b/follower/fault_test.go
@@ -238,6 +238,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, result.Revision, int64(4))
 	fl.inForce(4, a, b, c)
+	fl.forget()
+	fl.inForce(4, fl.start("d"))
+}
+
+// forget hides the routers from those that start later, which then have only
+// the sections of the store.
+func (fl *fleet) forget() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	clear(fl.routers)
 }
 
 // Guards against a malformed head that replaces a working revision, or that no
@@ -312,10 +322,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, interleaved.Load())
 	fl.inForce(reviser.HistoryLength+2, a, b)
-	// A follower without peers has only the sections of the store.
-	fl.mu.Lock()
-	clear(fl.routers)
-	fl.mu.Unlock()
+	fl.forget()
 	c := fl.start("c")
 	fl.inForce(reviser.HistoryLength+2, c)
 	document, _ := c.Document()
