placer: search for a chat only after its first endpoint changed

Cause: a returning chat that its first owner does not know was searched at up to 5 other owners whenever the group had changed in the last 10 minutes. Change: endpoints that left stay among the candidates as draining, and the search runs only if one of them outranks the chat's first endpoint or the owner's memory is new. 8 choices instead of 6.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: all build test lint fmt vet unit demo generate clean
+.PHONY: all build test lint fmt vet unit demo bench generate clean
 
 all: build
 
@@ -33,6 +33,11 @@
 unit:
 	go test -race ./...
 
+# Prints the measures M1 to M4 and writes BENCH_OUTPUT/measures.csv.
+BENCH_OUTPUT ?= $(BIN)/bench-results
+bench:
+	go run ./cmd/bench --seed $(SEED) --output $(BENCH_OUTPUT)
+
 # Needs protoc (Debian package protobuf-compiler). CI does not run this.
 generate:
 	cd tools && GOBIN=$(BIN) go install tool
--- a/benchmarker/engine.go
+++ b/benchmarker/engine.go
@@ -29,14 +29,17 @@
 	loads      *placer.Loads
 	owner      int
 	joined     time.Duration
-	warm       bool
-	draining   bool
-	gone       bool
-	cache      *cache
-	running    map[string]*request
-	held       [classCount]int
-	prefills   [classCount][]*request
-	prefilling bool
+	// since is when the owner began to keep its memory, left when the engine
+	// left.
+	since, left time.Duration
+	warm        bool
+	draining    bool
+	gone        bool
+	cache       *cache
+	running     map[string]*request
+	held        [classCount]int
+	prefills    [classCount][]*request
+	prefilling  bool
 	// known is the group's mean as the owner received it last.
 	known   placer.Mean
 	knownAt time.Duration
--- a/benchmarker/measures.go
+++ b/benchmarker/measures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
 )
 
 // Row is one figure of the report.
@@ -28,6 +29,7 @@
 	goalJain       = 0.95
 	floodLoad      = 4.0
 	heavyFactor    = 10.0
+	goalTraffic    = 15.0
 	percentile     = 95.0
 	smallCount     = 9
 	heavyCount     = 3
@@ -47,22 +49,38 @@
 	Seed uint64
 	// Scale shortens the measured time; 1 is the full length.
 	Scale float64
+	// Parallel is the number of runs at the same time; zero means 1. It has no
+	// effect on the results.
+	Parallel int
 }
 
 func (o Options) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * o.Scale)
 }
 
+// runAll runs the scenarios and returns their results in the same order.
+func (o Options) runAll(scenarios ...Scenario) []*Result {
+	results := make([]*Result, len(scenarios))
+	var group errgroup.Group
+	group.SetLimit(max(o.Parallel, 1))
+	for i, sc := range scenarios {
+		group.Go(func() error {
+			results[i] = Run(sc)
+			return nil
+		})
+	}
+	// No run returns an error.
+	_ = group.Wait()
+	return results
+}
+
 // Measure runs all measures for the shapes.
 func Measure(o Options, shapes ...Shape) []Row {
 	var rows []Row
-	for _, s := range shapes {
-		rows = append(rows, CacheReuse(o, s)...)
-	}
-	for _, s := range shapes {
-		rows = append(rows, UrgentLatency(o, s)...)
-		rows = append(rows, MinimumShares(o, s)...)
-		rows = append(rows, Isolation(o, s)...)
+	for _, measure := range []func(Options, Shape) []Row{CacheReuse, UrgentLatency, MinimumShares, Isolation} {
+		for _, s := range shapes {
+			rows = append(rows, measure(o, s)...)
+		}
 	}
 	return rows
 }
@@ -82,37 +100,52 @@
 
 // CacheReuse measures M1.
 func CacheReuse(o Options, shape Shape) []Row {
-	oracle := Run(reuseScenario(o, shape, PlacementOracle))
-	rows := []Row{{"M1", shape.Name, string(PlacementOracle), "cache reuse", oracle.Reuse(), "", "", true}}
+	scenarios := []Scenario{reuseScenario(o, shape, PlacementOracle)}
 	for _, p := range placements() {
-		r := Run(reuseScenario(o, shape, p))
+		scenarios = append(scenarios, reuseScenario(o, shape, p))
+	}
+	results := o.runAll(scenarios...)
+	oracle := results[0]
+	rows := []Row{{"M1", shape.Name, string(PlacementOracle), "cache reuse", oracle.Reuse(), "", "", true}}
+	for i, p := range placements() {
+		r := results[i+1]
 		relative := r.Reuse() / oracle.Reuse()
-		goal := ""
+		above := float64(r.Exceeded) / float64(max(r.Admissions, 1))
+		redirects := float64(r.Redirects) / float64(max(r.Admissions, 1))
+		goalReused, goalBound := "", ""
 		if p == PlacementRouter {
-			goal = fmt.Sprintf(">= %.2f", goalReuse)
+			goalReused = fmt.Sprintf(">= %.2f", goalReuse)
+			goalBound = "== 0"
 		}
 		rows = append(rows,
-			Row{"M1", shape.Name, string(p), "reuse relative to the oracle", relative, "", goal, relative >= goalReuse},
-			Row{"M1", shape.Name, string(p), "admissions above the bound", float64(r.Exceeded), "", boundGoal(p), r.Exceeded == 0},
-			Row{"M1", shape.Name, string(p), "peak load relative to the bound", r.Peak, "", boundGoal(p), r.Peak <= 1},
-			Row{"M1", shape.Name, string(p), "peak load relative to the mean", r.PeakMultiple, "", "", true},
+			Row{"M1", shape.Name, string(p), "reuse relative to the oracle", relative, "", goalReused, relative >= goalReuse},
+			Row{"M1", shape.Name, string(p), "fraction of admissions above the bound for the true mean", above, "", goalBound, r.Exceeded == 0},
+			Row{"M1", shape.Name, string(p), "peak load relative to the bound for the true mean", r.Peak, "", "", true},
 			Row{"M1", shape.Name, string(p), "urgent p95", p95(r.Latency[urgent]), "ms", "", true},
-			Row{"M1", shape.Name, string(p), "redirects per admission", float64(r.Redirects) / float64(max(r.Admissions, 1)), "", "", true},
+			Row{"M1", shape.Name, string(p), "redirects per admission", redirects, "", "", true},
 		)
+		if p == PlacementRouter {
+			rows = append(rows, controlTraffic(o, shape, r))
+		}
 	}
 	return rows
 }
 
-func placements() []Placement {
-	return []Placement{PlacementRouter, PlacementOverride, PlacementOrder, PlacementRandom, PlacementLeast, PlacementHash}
+// redirectBytes is the size of a refused attempt to forward a request: headers
+// and a refusal, without the body, which is sent only on admission.
+const redirectBytes = 400
+
+// controlTraffic estimates the control traffic of the busiest router, which
+// aggregates the loads and takes its part of the redirects.
+func controlTraffic(o Options, shape Shape, r *Result) Row {
+	reports := float64(shape.Engines) * reportBytes / shape.reportInterval().Seconds()
+	redirects := float64(r.Redirects) * redirectBytes / o.scaled(measuredReuse).Seconds() / float64(shape.groupRouters())
+	total := (reports + redirects) / 1000
+	return Row{"M1", shape.Name, string(PlacementRouter), "control traffic of the busiest router, estimated", total, "KB/s", "< 15", total < goalTraffic}
 }
 
-// boundGoal is set for the policy that has to keep the bound.
-func boundGoal(p Placement) string {
-	if p == PlacementRouter {
-		return "load <= bound"
-	}
-	return ""
+func placements() []Placement {
+	return []Placement{PlacementRouter, PlacementOverride, PlacementOrder, PlacementRandom, PlacementLeast, PlacementHash}
 }
 
 // floodScenario is a flood of one class over a load.
@@ -129,13 +162,18 @@
 
 // UrgentLatency measures M2.
 func UrgentLatency(o Options, shape Shape) []Row {
-	quiet := Run(floodScenario(o, shape, batch, normalLoad, false, false))
+	results := o.runAll(
+		floodScenario(o, shape, batch, normalLoad, false, false),
+		floodScenario(o, shape, batch, normalLoad, true, false),
+		floodScenario(o, shape, batch, normalLoad, true, true),
+	)
+	quiet := results[0]
 	rows := []Row{
 		{"M2", shape.Name, "no flood", "urgent p95", p95(quiet.Latency[urgent]), "ms", "", true},
 		{"M2", shape.Name, "no flood", "urgent first token p95", p95(quiet.FirstToken[urgent]), "ms", "", true},
 	}
-	for _, fifo := range []bool{false, true} {
-		r := Run(floodScenario(o, shape, batch, normalLoad, true, fifo))
+	for i, fifo := range []bool{false, true} {
+		r := results[i+1]
 		ratio := p95(r.Latency[urgent]) / p95(quiet.Latency[urgent])
 		goal := ""
 		if !fifo {
@@ -164,25 +202,27 @@
 
 // MinimumShares measures M3 in floods of the lowest and the most urgent class.
 func MinimumShares(o Options, shape Shape) []Row {
-	var rows []Row
+	var scenarios []Scenario
+	var variants []string
 	for _, flooded := range []int{batch, urgent} {
 		for _, fifo := range []bool{false, true} {
-			r := Run(floodScenario(o, shape, flooded, shareLoad, true, fifo))
-			variant := fmt.Sprintf("%s, %s flood", queueName(fifo), classNames[flooded])
-			for class, c := range classes() {
-				goal := ""
-				if !fifo {
-					goal = fmt.Sprintf(">= %.2f", c.MinShare)
-				}
-				share := r.Share(shape, class)
-				rows = append(rows, Row{"M3", shape.Name, variant, "share of " + c.Name, share, "", goal, share >= c.MinShare})
-			}
+			scenarios = append(scenarios, floodScenario(o, shape, flooded, shareLoad, true, fifo))
+			variants = append(variants, fmt.Sprintf("%s, %s flood", queueName(fifo), classNames[flooded]))
+		}
+	}
+	var rows []Row
+	for i, r := range o.runAll(scenarios...) {
+		goalFinished := ""
+		for class, c := range classes() {
 			goal := ""
-			if !fifo {
-				goal = "== 0"
+			if !scenarios[i].FIFO {
+				goal = fmt.Sprintf(">= %.2f", c.MinShare)
+				goalFinished = "== 0"
 			}
-			rows = append(rows, Row{"M3", shape.Name, variant, "started but not finished", float64(r.Unfinished), "", goal, r.Unfinished == 0})
+			share := r.Share(shape, class)
+			rows = append(rows, Row{"M3", shape.Name, variants[i], "share of " + c.Name, share, "", goal, share >= c.MinShare})
 		}
+		rows = append(rows, Row{"M3", shape.Name, variants[i], "started but not finished", float64(r.Unfinished), "", goalFinished, r.Unfinished == 0})
 	}
 	return rows
 }
@@ -211,9 +251,7 @@
 // Isolation measures M4. The quotas of the heavy workspaces still let them take
 // quotaFactor times their share each.
 func Isolation(o Options, shape Shape) []Row {
-	alone := Run(isolationScenario(o, shape, false, false))
-	rows := []Row{{"M4", shape.Name, "alone", "small p95", p95(alone.Small), "ms", "", true}}
-	for _, v := range []struct {
+	variants := []struct {
 		name  string
 		fifo  bool
 		quota float64
@@ -222,11 +260,19 @@
 		{"scheduler", false, 0},
 		{"FIFO and quotas", true, quotaFactor},
 		{"FIFO", true, 0},
-	} {
+	}
+	scenarios := []Scenario{isolationScenario(o, shape, false, false)}
+	for _, v := range variants {
 		sc := isolationScenario(o, shape, true, v.fifo)
 		sc.Quota = v.quota * shape.tokenRate(normalLoad, 1) / (smallCount + heavyCount)
-		r := Run(sc)
-		ratio := p95(r.Small) / p95(alone.Small)
+		scenarios = append(scenarios, sc)
+	}
+	results := o.runAll(scenarios...)
+	alone := p95(results[0].Small)
+	rows := []Row{{"M4", shape.Name, "alone", "small p95", alone, "ms", "", true}}
+	for i, v := range variants {
+		r := results[i+1]
+		ratio := p95(r.Small) / alone
 		jain := r.Jain()
 		goalLatency, goalFair := "", ""
 		if !v.fifo && v.quota > 0 {
--- a/benchmarker/placement.go
+++ b/benchmarker/placement.go
@@ -54,7 +54,7 @@
 	question.Returning = r.prefix > 0
 	question.Override, _ = home.overrides.Get(chat)
 	question.Resident = home.residents.Contains(chat)
-	question.Changed = epoch.Add(s.changed)
+	question.Since = epoch.Add(home.since)
 	question.Loads = home.loads
 	s.plan = s.group.Plan(s.plan[:0], question)
 	for _, step := range s.plan {
@@ -63,11 +63,13 @@
 			s.result.Redirects++
 		}
 		load := e.load()
-		capacity := s.bound.StepCapacity(step, e.mean(), home.loads.Mean(s.clock()))
+		own, sender := e.mean(), home.loads.Mean(s.clock())
+		capacity := s.bound.StepCapacity(step, own, sender)
 		if e.gone || !step.Met(e.residents.Contains(chat), load, capacity) {
 			home.loads.Set(e.name, load)
 			continue
 		}
+		s.admission = admission{e, step, own, sender}
 		home.loads.Set(e.name, load+1)
 		if e == home {
 			home.overrides.Delete(chat)
@@ -112,8 +114,11 @@
 func (s *simulation) trueMean() placer.Mean {
 	var m placer.Mean
 	for _, e := range s.engines {
+		if e.gone {
+			continue
+		}
 		m.Load += e.load()
-		if !e.draining && !e.gone {
+		if !e.draining {
 			m.Engines++
 		}
 	}
--- a/benchmarker/report.go
+++ b/benchmarker/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
@@ -40,10 +41,10 @@
 }
 
 func (r Row) format() string {
-	if r.Unit != "" {
+	if r.Unit == "ms" {
 		return fmt.Sprintf("%.0f %s", r.Value, r.Unit)
 	}
-	return fmt.Sprintf("%.3f", r.Value)
+	return strings.TrimSpace(fmt.Sprintf("%.4g %s", r.Value, r.Unit))
 }
 
 // WriteCSV writes the rows to measures.csv in the directory.
--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -31,11 +31,11 @@
 	Unfinished  int
 	Preemptions int
 	// Unplaced counts requests that every endpoint of the plan refused.
-	Unplaced int
-	Departures  int
-	Redirects   int
-	Reports     int
-	Admissions  int
+	Unplaced   int
+	Departures int
+	Redirects  int
+	Reports    int
+	Admissions int
 	// Reusable and Reused are prompt tokens of returning chats.
 	Reusable, Reused int
 	// Exceeded counts admissions above the bound for the true mean, and Peak is
@@ -144,6 +144,9 @@
 	}
 	r.samples++
 	for _, e := range s.engines {
+		if e.gone {
+			continue
+		}
 		for class, held := range e.held {
 			r.Held[class] += float64(held) * tick.Seconds()
 		}
--- a/benchmarker/shape.go
+++ b/benchmarker/shape.go
@@ -107,6 +107,18 @@
 	batch:    {context: 1500, input: 1000, output: 600},
 }
 
+// groupRouters is the number of routers that a model group keeps busy: all of
+// them today, and 1 of the 33 groups' part of 360 at the target.
+func (s Shape) groupRouters() int {
+	if s.Routers > s.Engines {
+		return s.Routers / targetGroups
+	}
+	return s.Routers
+}
+
+// targetGroups is the number of models in steady use at the target.
+const targetGroups = 33
+
 // slotTime is the mean time that a request of the class holds a slot.
 func (s Shape) slotTime(class int) float64 {
 	w := works[class]
--- a/benchmarker/simulation.go
+++ b/benchmarker/simulation.go
@@ -46,8 +46,9 @@
 	ReportInterval time.Duration
 	// Quota is the token rate of each workspace; zero means no quotas.
 	Quota float64
-	// check is called after each admission.
-	check func(s *simulation, e *engine)
+	// check is called after each admission by the router's policy with the
+	// engine and the means on which its owner decided.
+	check func(e *engine, step placer.Step, own, sender placer.Mean)
 }
 
 // joinDelay is the time between the departure of an engine and the arrival of
@@ -72,8 +73,15 @@
 	quotas   *quotas
 	order    []int
 	plan     []placer.Step
-	// changed is when the group or an owner last changed.
-	changed time.Duration
+	// admission is the last decision of the router's policy.
+	admission admission
+}
+
+// admission is what an owner knew when it admitted a request.
+type admission struct {
+	engine      *engine
+	step        placer.Step
+	own, sender placer.Mean
 }
 
 // report is the last load report of an engine at the aggregator.
@@ -155,7 +163,7 @@
 		simulation: s, name: fmt.Sprintf("engine-%03d", n+1), domain: fmt.Sprintf("domain-%d", n%s.shape.Domains),
 		overrides: placer.NewOverrides(memory), loads: placer.NewLoads(),
 		residents: placer.NewResidents(s.shape.CacheTokens, memory), owner: s.rng.IntN(s.shape.Routers),
-		joined: s.now, warm: warm, cache: newCache(s.shape.CacheTokens), running: map[string]*request{},
+		joined: s.now, since: s.now, warm: warm, cache: newCache(s.shape.CacheTokens), running: map[string]*request{},
 	}
 	if s.FIFO {
 		e.queue = newFIFO(classes())
@@ -171,11 +179,10 @@
 
 // regroup rebuilds the routers' view of the group.
 func (s *simulation) regroup() {
-	s.changed = s.now
-	s.engines = slices.DeleteFunc(s.engines, func(e *engine) bool { return e.gone })
+	s.engines = slices.DeleteFunc(s.engines, func(e *engine) bool { return e.gone && s.now-e.left > placer.SearchPeriod })
 	candidates := make([]placer.Candidate, len(s.engines))
 	for i, e := range s.engines {
-		candidates[i] = placer.Candidate{Name: e.name, FailureDomain: e.domain, Draining: e.draining, Weight: 1}
+		candidates[i] = placer.Candidate{Name: e.name, FailureDomain: e.domain, Draining: e.draining || e.gone, Weight: 1}
 		if !e.warm {
 			candidates[i].SlowStart = epoch.Add(e.joined)
 		}
@@ -223,12 +230,15 @@
 // tick applies time limits and takes samples.
 func (s *simulation) tick() {
 	for _, e := range s.engines {
+		if e.gone {
+			continue
+		}
 		for _, r := range e.queue.Expire(s.clock()) {
 			s.refused(r)
 		}
 		e.dispatch()
 		if e.draining && e.load() == 0 {
-			e.gone = true
+			e.leave()
 		}
 	}
 	s.result.sample(s)
@@ -253,8 +263,8 @@
 		s.refused(out)
 	}
 	s.result.admitted(s, e)
-	if s.check != nil {
-		s.check(s, e)
+	if s.check != nil && s.admission.engine == e {
+		s.check(e, s.admission.step, s.admission.own, s.admission.sender)
 	}
 	e.dispatch()
 }
@@ -291,7 +301,8 @@
 	if s.now >= s.To {
 		return
 	}
-	e := s.engines[s.rng.IntN(len(s.engines))]
+	live := s.live()
+	e := live[s.rng.IntN(len(live))]
 	s.result.Departures++
 	if s.result.Departures%2 == 0 {
 		e.draining = true
@@ -303,9 +314,15 @@
 	s.after(s.EngineChurn, s.churnEngine)
 }
 
+// leave ends an engine.
+func (e *engine) leave() {
+	e.gone = true
+	e.left = e.simulation.now
+}
+
 // crash loses the cache; the entry routers resume the requests elsewhere.
 func (e *engine) crash() {
-	e.gone = true
+	e.leave()
 	s := e.simulation
 	ids := e.queue.Items()
 	slices.Sort(ids)
@@ -324,12 +341,12 @@
 		return
 	}
 	router := s.rng.IntN(s.shape.Routers)
-	s.changed = s.now
 	for _, e := range s.engines {
 		if e.owner == router {
 			e.overrides = placer.NewOverrides(memory)
 			e.residents = placer.NewResidents(s.shape.CacheTokens, memory)
 			e.owner = s.rng.IntN(s.shape.Routers)
+			e.since = s.now
 		}
 	}
 	s.after(s.RouterChurn, s.churnRouter)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,15 +14,17 @@
 func main() {
 	var seed uint64 = 1
 	scale := 1.0
+	parallel := 4
 	directory := ""
 	flaggy.SetName("bench")
 	flaggy.SetDescription("measures cache reuse, urgent latency, minimum shares and isolation")
 	flaggy.UInt64(&seed, "s", "seed", "seed of the workload")
 	flaggy.Float64(&scale, "", "scale", "length of the measured time relative to the full run")
+	flaggy.Int(&parallel, "p", "parallel", "number of runs at the same time")
 	flaggy.String(&directory, "o", "output", "directory for measures.csv")
 	flaggy.Parse()
 
-	rows := benchmarker.Measure(benchmarker.Options{Seed: seed, Scale: scale},
+	rows := benchmarker.Measure(benchmarker.Options{Seed: seed, Scale: scale, Parallel: parallel},
 		benchmarker.Hanbit(), benchmarker.Vrbensky(), benchmarker.Target())
 	err := benchmarker.Print(os.Stdout, seed, rows)
 	if err == nil && directory != "" {
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -5,19 +5,23 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
 const (
 	// choices is how many endpoints of a chat's order take its first request.
 	// The least loaded of a few is nearly as good as the least loaded of all,
 	// and a chat whose override was lost is found again among them.
-	choices = 6
+	choices = 8
 	// spares is how many endpoints after the choices are tried when all of
 	// them are at their capacity.
 	spares = 4
-	// searchPeriod is how long after a change of the group or its owners a
-	// chat may be cached where no override leads any more.
-	searchPeriod = 10 * time.Minute
+	// SearchPeriod is how long a chat may be cached where no override leads any
+	// more, because the endpoint that kept its override or the owner of that
+	// endpoint has changed. Routers keep endpoints that have left among the
+	// candidates for this time, as draining.
+	SearchPeriod = 10 * time.Minute
 )
 
 // Step is one attempt to place a request. The owner of the endpoint admits it
@@ -57,9 +61,9 @@
 	Override string
 	// Resident is set if the first endpoint has the chat cached.
 	Resident bool
-	// Changed is when an endpoint last joined or left the group, or the owner
-	// of the first endpoint changed.
-	Changed time.Time
+	// Since is when the owner of the first endpoint began to keep overrides and
+	// residents for it.
+	Since time.Time
 	// Loads holds the known loads of the group.
 	Loads *Loads
 }
@@ -102,7 +106,7 @@
 	if q.Resident && order[0] != overridden {
 		dst = append(dst, Step{Endpoint: order[0], Resident: true, MaxLoad: -1})
 	}
-	if overridden >= 0 || q.Resident || q.Now.Sub(q.Changed) > searchPeriod {
+	if overridden >= 0 || q.Resident || !g.searches(q, order[0]) {
 		return dst
 	}
 	for _, i := range order[1:] {
@@ -111,6 +115,22 @@
 	return dst
 }
 
+// searches reports whether the override of the chat may have been lost: the
+// owner is new, or an endpoint that left was the chat's first one.
+func (g *Group) searches(q Question, first int) bool {
+	if q.Now.Sub(q.Since) < SearchPeriod {
+		return true
+	}
+	key := q.key()
+	leader := hasher.Weight(key, g.hashes[first])
+	for i := range g.candidates {
+		if g.candidates[i].Draining && hasher.Weight(key, g.hashes[i]) > leader {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns the index of a candidate that takes new work, or -1.
 func (g *Group) find(name string) int {
 	i := slices.IndexFunc(g.candidates, func(c Candidate) bool { return c.Name == name })
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -123,11 +123,11 @@
 
 // Queue is the queue and the running set of one endpoint.
 type Queue struct {
-	config   Config
-	limit    int
-	classes  []*class
+	config  Config
+	limit   int
+	classes []*class
 	// margin is the factor by which the minimum shares are exceeded.
-	margin float64
+	margin   float64
 	entries  map[string]*entry
 	ledger   *ledger
 	running  int
