--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -51,17 +51,22 @@
 // Request grants a share to a router that wants the given token rate and needs
 // the given number of tokens for the request at hand. The grant covers the need
 // and, where the bucket allows it, the router's max-min fair part of the rate
-// for the time to live. A bucket with less than the need grants nothing: a part
+// since its last request. A bucket with less than the need grants nothing: a part
 // would expire unspent at the router while others wait. The duration tells when
 // the bucket will hold the need.
 func (h *Holder) Request(now time.Time, router string, rate, need float64) (Grant, time.Duration) {
 	h.advance(now)
+	period := h.config.TTL
+	if d, ok := h.demands[router]; ok {
+		// A router that asks more often gets smaller grants, not more tokens.
+		period = min(now.Sub(d.at), period)
+	}
 	h.demands[router] = demand{rate: max(rate, 0), at: now}
 	need = min(max(need, 0), h.config.Burst)
 	if h.tokens < need {
 		return Grant{}, h.refillTime(need - h.tokens)
 	}
-	share := h.fairRate(router) * h.config.TTL.Seconds()
+	share := h.fairRate(router) * period.Seconds()
 	tokens := min(max(need, share), h.tokens)
 	h.tokens -= tokens
 	h.next++
--- a/placer/group.go
+++ b/placer/group.go
@@ -43,6 +43,7 @@
 type Group struct {
 	candidates []Candidate
 	hashes     []uint64
+	kinds      []kind
 	active     int
 	slowStart  time.Duration
 }
@@ -55,15 +56,38 @@
 	}
 	g := &Group{candidates: slices.Clone(candidates), slowStart: slowStart}
 	g.hashes = make([]uint64, len(candidates))
+	g.kinds = make([]kind, len(candidates))
 	for i, c := range candidates {
 		g.hashes[i] = hasher.Hash(c.Name)
 		if !c.Draining {
 			g.active++
 		}
+		g.kinds[i] = c.kind()
 	}
 	return g
 }
 
+// kind tells what has to be looked at to rank a candidate. It is kept apart
+// from the candidates, because a scan over these would miss the cache.
+type kind uint8
+
+const (
+	plain kind = iota
+	weakened
+	draining
+)
+
+func (c Candidate) kind() kind {
+	switch {
+	case c.Draining:
+		return draining
+	case c.Weight < 1 || !c.SlowStart.IsZero():
+		return weakened
+	default:
+		return plain
+	}
+}
+
 // Len returns the number of candidates that are not draining.
 func (g *Group) Len() int {
 	return g.active
--- a/placer/order.go
+++ b/placer/order.go
@@ -68,10 +68,18 @@
 		top = make([]rank, 0, limit)
 	}
 	key := r.key()
-	for i := range g.candidates {
-		if !g.candidates[i].Draining {
-			top = insert(top, g.rank(i, key, r), limit, compareRanks)
+	for i, kind := range g.kinds {
+		if kind == draining {
+			continue
+		}
+		// Most candidates of a large group are rejected by one comparison.
+		if kind == plain && r.Capacity == 0 && len(top) == limit {
+			last := top[limit-1]
+			if last.tier == 0 && hasher.Weight(key, g.hashes[i]) < last.weight {
+				continue
+			}
 		}
+		top = insert(top, g.rank(i, key, r), limit, compareRanks)
 	}
 	if len(top) > 1 {
 		g.spread(top, key, r)
@@ -86,7 +94,7 @@
 func (g *Group) rank(i int, key uint64, r Request) rank {
 	c := &g.candidates[i]
 	k := rank{index: i, weight: hasher.Weight(key, g.hashes[i])}
-	if c.Weight < 1 || !c.SlowStart.IsZero() {
+	if g.kinds[i] == weakened {
 		gate := float64(hasher.Weight(key^gateSalt, g.hashes[i])) / math.MaxUint64
 		if gate >= g.share(i, r.Now) {
 			k.tier = 1
@@ -119,7 +127,7 @@
 	}
 	best := rank{index: -1}
 	for i := range g.candidates {
-		if g.candidates[i].Draining || g.candidates[i].FailureDomain == domain {
+		if g.kinds[i] == draining || g.candidates[i].FailureDomain == domain {
 			continue
 		}
 		if k := g.rank(i, key, r); best.index < 0 || compareRanks(k, best) < 0 {
--- a/placer/overrides.go
+++ b/placer/overrides.go
@@ -1,6 +1,9 @@
 package placer
 
-import "github.com/bergamotdale/bergamotdale/hasher"
+import (
+	"github.com/bergamotdale/bergamotdale/evictor"
+	"github.com/bergamotdale/bergamotdale/hasher"
+)
 
 // EntryBytes bounds the memory of one entry of Overrides or Residents: 24 bytes
 // in the list and up to 40 in a Go map that has just grown.
@@ -13,7 +16,7 @@
 //
 // Chats are kept as 64-bit hashes. A collision costs one cache miss.
 type Overrides struct {
-	chats    lru[uint32]
+	chats    evictor.Map[uint32]
 	capacity int
 	// names and numbers translate endpoint names; unused lists the numbers of
 	// endpoints that have left.
@@ -25,7 +28,7 @@
 // NewOverrides returns an empty map that keeps its size within maxBytes.
 func NewOverrides(maxBytes int) *Overrides {
 	return &Overrides{
-		chats:    newLRU[uint32](),
+		chats:    evictor.New[uint32](),
 		numbers:  map[string]uint32{},
 		capacity: max(maxBytes/EntryBytes, 1),
 	}
@@ -33,12 +36,12 @@
 
 // Len returns the number of overrides.
 func (o *Overrides) Len() int {
-	return o.chats.len()
+	return o.chats.Len()
 }
 
 // Get returns the endpoint of the chat and marks it as used.
 func (o *Overrides) Get(chat string) (string, bool) {
-	n, ok := o.chats.get(hasher.Hash(chat))
+	n, ok := o.chats.Get(hasher.Hash(chat))
 	if !ok {
 		return "", false
 	}
@@ -52,15 +55,15 @@
 
 // PutKey sets the endpoint of the chat with the hash, as Each reported it.
 func (o *Overrides) PutKey(key uint64, endpoint string) {
-	o.chats.put(key, o.number(endpoint))
-	if o.chats.len() > o.capacity {
-		o.chats.removeOldest()
+	o.chats.Put(key, o.number(endpoint))
+	if o.chats.Len() > o.capacity {
+		o.chats.RemoveOldest()
 	}
 }
 
 // Delete removes the override of the chat.
 func (o *Overrides) Delete(chat string) {
-	o.chats.remove(hasher.Hash(chat))
+	o.chats.Remove(hasher.Hash(chat))
 }
 
 // DeleteEndpoint removes all overrides to an endpoint that has left.
@@ -69,9 +72,9 @@
 	if !ok {
 		return
 	}
-	o.chats.each(func(key uint64, value uint32) bool {
+	o.chats.Each(func(key uint64, value uint32) bool {
 		if value == n {
-			o.chats.remove(key)
+			o.chats.Remove(key)
 		}
 		return true
 	})
@@ -82,7 +85,7 @@
 // Each calls f from the most to the least recently used override until f
 // returns false. A handover sends the entries in this order.
 func (o *Overrides) Each(f func(key uint64, endpoint string) bool) {
-	o.chats.each(func(key uint64, n uint32) bool {
+	o.chats.Each(func(key uint64, n uint32) bool {
 		return f(key, o.names[n])
 	})
 }
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -123,8 +123,8 @@
 	}
 	key := q.key()
 	leader := hasher.Weight(key, g.hashes[first])
-	for i := range g.candidates {
-		if g.candidates[i].Draining && hasher.Weight(key, g.hashes[i]) > leader {
+	for i, kind := range g.kinds {
+		if kind == draining && hasher.Weight(key, g.hashes[i]) > leader {
 			return true
 		}
 	}
--- a/placer/residents.go
+++ b/placer/residents.go
@@ -1,6 +1,9 @@
 package placer
 
-import "github.com/bergamotdale/bergamotdale/hasher"
+import (
+	"github.com/bergamotdale/bergamotdale/evictor"
+	"github.com/bergamotdale/bergamotdale/hasher"
+)
 
 // Residents estimates which chats an engine still has in its prefix cache. The
 // owner sees every request of its engine and repeats what an LRU cache of the
@@ -9,7 +12,7 @@
 //
 // It is not safe for concurrent use.
 type Residents struct {
-	chats    lru[uint32]
+	chats    evictor.Map[uint32]
 	tokens   int
 	capacity int
 	entries  int
@@ -19,7 +22,7 @@
 // The capacity of the engine's cache is in tokens; zero means unknown, and only
 // the memory bounds the estimate.
 func NewResidents(capacity, maxBytes int) *Residents {
-	return &Residents{chats: newLRU[uint32](), capacity: capacity, entries: max(maxBytes/EntryBytes, 1)}
+	return &Residents{chats: evictor.New[uint32](), capacity: capacity, entries: max(maxBytes/EntryBytes, 1)}
 }
 
 // SetCapacity sets the cache size that the engine reported, in tokens.
@@ -31,37 +34,36 @@
 // Put records that the engine has computed the first tokens of the chat.
 func (r *Residents) Put(chat string, tokens int) {
 	key := hasher.Hash(chat)
-	if before, ok := r.chats.get(key); ok {
+	if before, ok := r.chats.Get(key); ok {
 		r.tokens -= int(before)
 	}
-	r.chats.put(key, uint32(max(tokens, 0)))
+	r.chats.Put(key, uint32(max(tokens, 0)))
 	r.tokens += max(tokens, 0)
 	r.evict()
 }
 
 // Contains reports whether the chat is expected to be in the cache.
 func (r *Residents) Contains(chat string) bool {
-	_, ok := r.chats.index[hasher.Hash(chat)]
-	return ok
+	return r.chats.Contains(hasher.Hash(chat))
 }
 
 // Len returns the number of chats.
 func (r *Residents) Len() int {
-	return r.chats.len()
+	return r.chats.Len()
 }
 
 // Clear forgets all chats, after a restart of the engine.
 func (r *Residents) Clear() {
-	r.chats = newLRU[uint32]()
+	r.chats = evictor.New[uint32]()
 	r.tokens = 0
 }
 
 func (r *Residents) evict() {
-	for r.chats.len() > 1 {
+	for r.chats.Len() > 1 {
 		full := r.capacity > 0 && r.tokens > r.capacity
-		if !full && r.chats.len() <= r.entries {
+		if !full && r.chats.Len() <= r.entries {
 			return
 		}
-		r.tokens -= int(r.chats.removeOldest())
+		r.tokens -= int(r.chats.RemoveOldest())
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,9 +14,11 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/sharer"
 )
 
 // Class configures one priority class. Classes are ordered from the most to
@@ -118,7 +120,17 @@
 	charged float64
 	// generated is the output since the first start.
 	generated int
-	workspace *workspace
+	ticket    *sharer.Ticket[*entry]
+}
+
+// class is the state of one priority class.
+type class struct {
+	config  Class
+	fair    *sharer.Fair[*entry]
+	running []*entry
+	leaving int
+	// deficit is how many slot seconds the class is behind its minimum share.
+	deficit float64
 }
 
 // Queue is the queue and the running set of one endpoint.
@@ -129,7 +141,7 @@
 	// margin is the factor by which the minimum shares are exceeded.
 	margin   float64
 	entries  map[string]*entry
-	ledger   *ledger
+	ledger   *sharer.Ledger
 	running  int
 	leaving  int
 	sequence uint64
@@ -148,10 +160,10 @@
 	if config.TokenTime <= 0 {
 		config.TokenTime = DefaultTokenTime
 	}
-	q := &Queue{config: config, entries: map[string]*entry{}, ledger: newLedger(len(config.Classes)), tokenTime: config.TokenTime.Seconds()}
+	q := &Queue{config: config, entries: map[string]*entry{}, ledger: sharer.NewLedger(len(config.Classes)), tokenTime: config.TokenTime.Seconds()}
 	sum := 0.0
 	for _, c := range config.Classes {
-		q.classes = append(q.classes, newClass(c))
+		q.classes = append(q.classes, &class{config: c, fair: sharer.NewFair[*entry]()})
 		sum += c.MinShare
 	}
 	q.margin = shareMargin
@@ -192,11 +204,13 @@
 	q.sequence++
 	e := &entry{item: item, sequence: q.sequence, pushed: now, generated: item.Offset}
 	q.entries[item.ID] = e
-	c.push(e, q.cost(item))
-	if c.waiting <= c.config.MaxQueued {
+	e.ticket = c.fair.Push(item.Workspace, item.Weight, q.cost(item), e)
+	if c.fair.Waiting() <= c.config.MaxQueued {
 		return nil
 	}
-	victim := c.longestTail()
+	// Items that have started before keep their place. The new item is always
+	// a candidate, because it is the last of its workspace.
+	victim := c.fair.Longest(func(e *entry) bool { return e.firstStart.IsZero() }).Value
 	q.drop(victim)
 	return []Refused{q.refuse(victim.item, bergamotdale.CodeOverloaded, q.classWait(item.Class))}
 }
@@ -207,12 +221,11 @@
 	q.advance(now)
 	var d Decision
 	for q.running < q.limit {
-		c, w := q.nextClass()
-		if c == nil {
+		e := q.next()
+		if e == nil {
 			break
 		}
-		e := c.pop(w, q.costOf)
-		q.start(now, c, e)
+		q.start(now, e)
 		d.Start = append(d.Start, e.item)
 	}
 	d.Preempt = q.preempt()
@@ -240,10 +253,10 @@
 		return false
 	}
 	q.advance(now)
-	q.release(now, e)
+	q.release(e)
 	q.learn(now, e)
+	q.classOf(e).fair.End(e.ticket)
 	delete(q.entries, id)
-	q.classes[e.item.Class].collect()
 	return true
 }
 
@@ -257,10 +270,10 @@
 	}
 	q.advance(now)
 	q.Progress(id, offset)
-	q.release(now, e)
+	q.release(e)
 	e.item.Offset = e.generated
 	e.state = waiting
-	q.classes[e.item.Class].pushFront(e, q.cost(e.item))
+	q.classOf(e).fair.Return(e.ticket, q.cost(e.item))
 	return true
 }
 
@@ -276,9 +289,9 @@
 		q.drop(e)
 		return false
 	}
-	q.release(now, e)
+	q.release(e)
+	q.classOf(e).fair.End(e.ticket)
 	delete(q.entries, id)
-	q.classes[e.item.Class].collect()
 	return true
 }
 
@@ -294,50 +307,53 @@
 
 // Waiting returns the number of waiting items of a class.
 func (q *Queue) Waiting(class int) int {
-	return q.classes[class].waiting
+	return q.classes[class].fair.Waiting()
+}
+
+func (q *Queue) classOf(e *entry) *class {
+	return q.classes[e.item.Class]
 }
 
-// start moves a popped entry into a slot.
-func (q *Queue) start(now time.Time, c *class, e *entry) {
+// start moves a waiting entry into a slot.
+func (q *Queue) start(now time.Time, e *entry) {
+	c := q.classOf(e)
 	e.state = running
 	e.started = now
 	if e.firstStart.IsZero() {
 		e.firstStart = now
 	}
+	c.fair.Start(e.ticket)
 	e.charged = 0
 	q.charge(e, q.cost(e.item))
 	c.running = append(c.running, e)
-	e.workspace.running++
 	q.running++
 }
 
 // release takes an entry out of its slot and settles its charge.
-func (q *Queue) release(now time.Time, e *entry) {
+func (q *Queue) release(e *entry) {
+	c := q.classOf(e)
 	if e.state == leaving {
 		q.leaving--
-		q.classes[e.item.Class].leaving--
+		c.leaving--
 	}
 	q.running--
-	q.classes[e.item.Class].release(e)
-	e.workspace.running--
+	c.running = slices.DeleteFunc(c.running, func(o *entry) bool { return o == e })
 	q.charge(e, q.used(e)-e.charged)
-	e.charged = 0
 }
 
 // charge corrects what a running entry has been charged; a negative cost is a
 // refund.
 func (q *Queue) charge(e *entry, cost float64) {
 	e.charged += cost
-	e.workspace.charge(cost)
-	q.ledger.charge(e.workspace.name, e.workspace.weight, e.item.Class, cost)
+	q.classOf(e).fair.Charge(e.ticket, cost)
+	name, weight := e.ticket.Workspace()
+	q.ledger.Charge(name, weight, e.item.Class, cost)
 }
 
 // drop removes a waiting entry.
 func (q *Queue) drop(e *entry) {
-	c := q.classes[e.item.Class]
-	c.remove(e, q.cost(e.item))
+	q.classOf(e).fair.Remove(e.ticket)
 	delete(q.entries, e.item.ID)
-	c.collect()
 }
 
 // cost is what an item is charged when it starts.
@@ -346,10 +362,6 @@
 	return q.config.InputWeight*float64(i.InputTokens) + float64(output)
 }
 
-func (q *Queue) costOf(e *entry) float64 {
-	return q.cost(e.item)
-}
-
 // used is what an item has consumed since its last start.
 func (q *Queue) used(e *entry) float64 {
 	output := max(e.generated-e.item.Offset, 1)
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -19,13 +19,13 @@
 	if elapsed <= 0 && !first {
 		return
 	}
-	q.ledger.advance(now)
+	q.ledger.Advance(now)
 	q.advanced = now
 	if first {
 		return
 	}
 	for _, c := range q.classes {
-		if c.waiting == 0 {
+		if c.fair.Waiting() == 0 {
 			c.deficit = 0
 			continue
 		}
@@ -43,55 +43,55 @@
 }
 
 // owed reports whether the class has to be served before more urgent ones. A
-// fraction of a slot is a whole slot for that fraction of the time.
+// fraction of a slot is a whole slot for that fraction of the time. A class that
+// has just become backlogged starts at once: a slot that was freed for it by a
+// preemption would go to another class otherwise.
 func (q *Queue) owed(c *class) bool {
 	guaranteed := q.guaranteed(c)
 	held := float64(len(c.running))
-	return held+1 <= guaranteed || (held < guaranteed && c.deficit > 0)
+	return held+1 <= guaranteed || (held < guaranteed && c.deficit >= 0)
 }
 
-// nextClass returns the class of the next item to start, or nil if nothing may
-// start. Classes below their minimum share come first, then classes by priority
-// as far as the workspace whose turn it is has not used more than its fair part
-// of the endpoint, then the others by priority.
-func (q *Queue) nextClass() (*class, *workspace) {
-	var fair, rest choice
+// next returns the entry to start, or nil if none may start. Classes below
+// their minimum share come first, then classes by priority as far as the
+// workspace whose turn it is has not used more than its fair part of the
+// endpoint, then the others by priority.
+func (q *Queue) next() *entry {
+	var fair, rest *entry
 	free := q.limit - q.running
 	headroom := int(q.config.Headroom * float64(q.limit))
 	for i, c := range q.classes {
-		if c.waiting == 0 {
+		e, exceeds := q.head(i)
+		if e == nil {
 			continue
 		}
-		w, exceeds := q.head(i)
 		if q.owed(c) {
-			return c, w
+			return e
 		}
 		if (!c.config.Preempts || exceeds) && free <= headroom {
 			continue
 		}
-		if fair.class == nil && !exceeds {
-			fair = choice{c, w}
+		if fair == nil && !exceeds {
+			fair = e
 		}
-		if rest.class == nil {
-			rest = choice{c, w}
+		if rest == nil {
+			rest = e
 		}
 	}
-	if fair.class != nil {
-		return fair.class, fair.workspace
+	if fair != nil {
+		return fair
 	}
-	return rest.class, rest.workspace
+	return rest
 }
 
-// choice is a class and the workspace whose turn it is there.
-type choice struct {
-	class     *class
-	workspace *workspace
-}
-
-// head returns the workspace whose turn it is in a class with waiting items,
-// and whether it has used more than its fair part of the endpoint.
-func (q *Queue) head(class int) (*workspace, bool) {
-	return q.classes[class].head(func(name string) bool { return q.ledger.exceeds(name, class) })
+// head returns the entry whose turn it is in a class, and whether its workspace
+// has used more than its fair part of the endpoint.
+func (q *Queue) head(class int) (*entry, bool) {
+	t, exceeds := q.classes[class].fair.Head(func(name string) bool { return q.ledger.Exceeds(name, class) })
+	if t == nil {
+		return nil, false
+	}
+	return t.Value, exceeds
 }
 
 // preempt marks running items that make room for waiting urgent ones.
@@ -99,13 +99,13 @@
 	var marked []Item
 	spare := q.leaving
 	for i, c := range q.classes {
-		if !c.config.Preempts || c.waiting == 0 {
+		if !c.config.Preempts || c.fair.Waiting() == 0 {
 			continue
 		}
 		if _, exceeds := q.head(i); exceeds {
 			continue
 		}
-		for wanted := c.waiting - spare; wanted > 0; wanted-- {
+		for wanted := c.fair.Waiting() - spare; wanted > 0; wanted-- {
 			e := q.victim(i)
 			if e == nil {
 				return marked
@@ -115,7 +115,7 @@
 			q.classes[e.item.Class].leaving++
 			marked = append(marked, e.item)
 		}
-		spare = max(spare-c.waiting, 0)
+		spare = max(spare-c.fair.Waiting(), 0)
 	}
 	return marked
 }
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -30,13 +30,11 @@
 	q.advance(now)
 	var late []*entry
 	for _, c := range q.classes {
-		for _, w := range c.backlog {
-			for _, e := range w.queue {
-				if e.firstStart.IsZero() && q.maxWait(e.pushed, e.item) <= now.Sub(e.pushed) {
-					late = append(late, e)
-				}
+		c.fair.Each(func(e *entry) {
+			if e.firstStart.IsZero() && q.maxWait(e.pushed, e.item) <= now.Sub(e.pushed) {
+				late = append(late, e)
 			}
-		}
+		})
 	}
 	refused := make([]Refused, 0, len(late))
 	for _, e := range late {
@@ -50,14 +48,12 @@
 func (q *Queue) NextExpiry() time.Time {
 	var next time.Time
 	for _, c := range q.classes {
-		for _, w := range c.backlog {
-			for _, e := range w.queue {
-				at := e.pushed.Add(q.maxWait(e.pushed, e.item))
-				if e.firstStart.IsZero() && (next.IsZero() || at.Before(next)) {
-					next = at
-				}
+		c.fair.Each(func(e *entry) {
+			at := e.pushed.Add(q.maxWait(e.pushed, e.item))
+			if e.firstStart.IsZero() && (next.IsZero() || at.Before(next)) {
+				next = at
 			}
-		}
+		})
 	}
 	return next
 }
@@ -76,30 +72,19 @@
 	return q.itemWait(Item{Class: class, Weight: 1})
 }
 
-// itemWait estimates the wait of an item that is pushed now. Within its class
-// each other workspace is served before it at most as much as its own
-// workspace, relative to the weights.
+// itemWait estimates the wait of an item that is pushed now.
 func (q *Queue) itemWait(item Item) time.Duration {
 	c := q.classes[item.Class]
 	higher, held := 0.0, 0
 	for _, o := range q.classes[:item.Class] {
-		higher += o.waitingCost
+		higher += o.fair.Cost()
 		held += len(o.running)
 	}
 	free := q.limit - q.running
-	if free > 0 && c.waiting == 0 && higher == 0 {
+	if free > 0 && c.fair.Waiting() == 0 && higher == 0 {
 		return 0
 	}
-	own := q.cost(item)
-	if w, ok := c.workspaces[item.Workspace]; ok {
-		own += w.cost
-	}
-	ahead := own - q.cost(item)
-	for _, w := range c.backlog {
-		if w.name != item.Workspace {
-			ahead += min(w.cost, own*w.weight/item.Weight)
-		}
-	}
+	ahead := c.fair.Ahead(item.Workspace, item.Weight, q.cost(item))
 	guaranteed := max(q.guaranteed(c), minSlots)
 	shared := max(float64(q.limit-held), guaranteed)
 	byPriority := (higher + ahead) / shared
--- a/scheduler/account.go
+++ b/sharer/ledger.go
@@ -1,4 +1,4 @@
-package scheduler
+package sharer
 
 import (
 	"math"
@@ -26,9 +26,9 @@
 	usage []float64
 }
 
-// ledger holds the accounts of the workspaces that used the endpoint recently.
+// Ledger holds the accounts of the workspaces that used the endpoint recently.
 // Usage decays exponentially; all values refer to the time of the last decay.
-type ledger struct {
+type Ledger struct {
 	classes  int
 	index    map[string]*account
 	accounts []*account
@@ -38,13 +38,14 @@
 	swept    time.Time
 }
 
-func newLedger(classes int) *ledger {
-	return &ledger{classes: classes, index: map[string]*account{}}
+// NewLedger returns a ledger for the given number of priority classes.
+func NewLedger(classes int) *Ledger {
+	return &Ledger{classes: classes, index: map[string]*account{}}
 }
 
-// advance decays all usage to the time. To decay thousands of accounts on every
+// Advance decays all usage to the time. To decay thousands of accounts on every
 // call would be slow, so it runs in steps.
-func (l *ledger) advance(now time.Time) {
+func (l *Ledger) Advance(now time.Time) {
 	elapsed := now.Sub(l.decayed)
 	if l.decayed.IsZero() {
 		l.decayed, l.swept = now, now
@@ -68,7 +69,7 @@
 }
 
 // sweep removes the accounts without usage.
-func (l *ledger) sweep() {
+func (l *Ledger) sweep() {
 	kept := l.accounts[:0]
 	for _, a := range l.accounts {
 		if a.upTo(l.classes-1) >= forgottenUsage {
@@ -82,8 +83,8 @@
 	l.accounts = kept
 }
 
-// charge adds usage of a workspace; a negative cost is a refund.
-func (l *ledger) charge(name string, weight float64, class int, cost float64) {
+// Charge adds usage of a workspace; a negative cost is a refund.
+func (l *Ledger) Charge(name string, weight float64, class int, cost float64) {
 	a, ok := l.index[name]
 	if !ok {
 		a = &account{name: name, usage: make([]float64, l.classes)}
@@ -96,11 +97,11 @@
 	l.total += cost
 }
 
-// exceeds reports whether the workspace has used more than its fair part of
+// Exceeds reports whether the workspace has used more than its fair part of
 // the endpoint by items of the class and more urgent ones. Usage of less urgent
 // classes does not count: a flood of these takes no precedence away from the
 // urgent items of the same workspace.
-func (l *ledger) exceeds(name string, class int) bool {
+func (l *Ledger) Exceeds(name string, class int) bool {
 	a, ok := l.index[name]
 	return ok && a.upTo(class) > fairFactor*l.total*a.weight/l.weights
 }
