--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,11 @@
 unit:
 	go test -race ./...
 
+# Prints the measures M1 to M4 and writes BENCH_OUTPUT/measures.csv.
+BENCH_OUTPUT ?= $(BIN)/bench-results
+bench:
+	go run ./cmd/bench --seed $(SEED) --output $(BENCH_OUTPUT)
+
 # Needs protoc (Debian package protobuf-compiler). CI does not run this.
 generate:
 	cd tools && GOBIN=$(BIN) go install tool
--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -144,6 +144,9 @@
 	}
 	r.samples++
 	for _, e := range s.engines {
+		if e.gone {
+			continue
+		}
 		for class, held := range e.held {
 			r.Held[class] += float64(held) * tick.Seconds()
 		}
--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -39,9 +40,14 @@
 	Engine func(e *engineserver.Server)
 	// Document adjusts the configuration before it is applied.
 	Document func(d *validator.Document)
-	// Periods adjusts the settings of the routers.
+	// Settings adjusts the settings of the routers.
 	Settings func(s *loader.Settings)
-	Logger   *zap.Logger
+	// Binary is the program to run each router as a process of its own; empty
+	// runs them in this process.
+	Binary string
+	// Directory receives the settings and logs of router processes.
+	Directory string
+	Logger    *zap.Logger
 
 	platform  *platformserver.Server
 	store     *platformclient.Client
@@ -69,9 +75,11 @@
 	// Events is the timeline of the router.
 	Events *recorder.Ring
 
-	stop context.CancelFunc
-	done chan struct{}
-	err  error
+	// process is the process of the router, nil if it runs in this one.
+	process *os.Process
+	stop    context.CancelFunc
+	done    chan struct{}
+	err     error
 }
 
 // Start starts the fakes, applies the configuration and starts the routers.
@@ -176,13 +184,11 @@
 	if f.Settings != nil {
 		f.Settings(settings)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	r := &Router{
 		Name:     settings.ID,
 		URL:      "http://" + settings.Listen.Clients,
 		Settings: settings,
 		Events:   &recorder.Ring{Process: settings.ID, Clock: bergamotdale.SystemClock{}},
-		stop:     cancel,
 		done:     make(chan struct{}),
 	}
 	if i < len(f.routers) {
@@ -191,30 +197,52 @@
 		f.routers = append(f.routers, r)
 	}
 	f.listVMs()
+	if f.Binary != "" {
+		listeners.close()
+		return r, errors.Trace(f.runProcess(r))
+	}
+	f.runInProcess(r, listeners.Listeners)
+	return r, nil
+}
+
+// runInProcess runs a router in this process.
+func (f *Fleet) runInProcess(r *Router, listeners router.Listeners) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
 	process := &router.Router{
-		Settings:  settings,
-		Logger:    f.Logger.Named(settings.ID),
+		Settings:  r.Settings,
+		Logger:    f.Logger.Named(r.Name),
 		Listeners: listeners,
-		Adapters:  router.NewAdapters(settings, r.Events),
+		Adapters:  router.NewAdapters(r.Settings, r.Events),
 	}
 	go func() {
 		defer close(r.done)
 		r.err = process.Run(ctx)
 	}()
-	return r, nil
+}
+
+// sockets are the listeners of a router before it runs.
+type sockets struct {
+	router.Listeners
+}
+
+func (s sockets) close() {
+	_ = s.Clients.Close()
+	_ = s.Peers.Close()
+	_ = s.Operators.Close()
 }
 
 // listen opens the three sockets of a router.
-func listen(ip string) (router.Listeners, error) {
-	var sockets [3]net.Listener
-	for i := range sockets {
+func listen(ip string) (sockets, error) {
+	var open [3]net.Listener
+	for i := range open {
 		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
-			return router.Listeners{}, errors.Trace(err)
+			return sockets{}, errors.Trace(err)
 		}
-		sockets[i] = l
+		open[i] = l
 	}
-	return router.Listeners{Clients: sockets[0], Peers: sockets[1], Operators: sockets[2]}, nil
+	return sockets{router.Listeners{Clients: open[0], Peers: open[1], Operators: open[2]}}, nil
 }
 
 // listVMs tells the platform which VMs are live.
