engineserver: tests of resumption and crash, paths in the package comments

A cancelled stream resumes without generating its tokens again, and a marked request crashes the engine when it starts and not while it is queued.

--- a/engineserver/engineserver.go
+++ b/engineserver/engineserver.go
@@ -2,6 +2,25 @@
 // number of requests at once, queues the rest by priority, caches message
 // prefixes in limited memory, and generates tokens that depend only on the
 // request body, so that another engine can continue the same stream.
+//
+// It serves:
+//
+//	POST /v1/chat/completions          X-Request-Id; priority and resume_from in the body
+//	POST /v1/requests/{id}/cancel      ends a request
+//	GET  /v1/models                    loaded models
+//	POST /v1/commands                  bergamotdale.Command
+//	POST /v1/drain                     refuses new requests from now on
+//	GET  /load, GET /health            lagging load report, liveness
+//	GET  /v1/cache/events?after=N      cache events
+//	GET  /v1/cache/export?prefix=HASH  KV export; without a prefix, of everything
+//	POST /v1/cache/import              KV import of an export
+//	GET  /counters                     Counters
+//	     /faults                       see package injector
+//
+// An event of a stream has the number of tokens up to its end as its id, which
+// is the resume_from of a client that has received it. The last event before
+// [DONE] carries the usage and the checksum of the whole response, also after
+// a resumption. A stream that won't be completed ends with an error event.
 package engineserver
 
 import (
--- a/engineserver/engineserver_test.go
+++ b/engineserver/engineserver_test.go
@@ -272,3 +272,63 @@
 	assert.Assert(t, !l.Draining)
 	assert.Equal(t, l.AgeMS, time.Hour.Milliseconds())
 }
+
+// Guards against a cancelled stream whose tokens have to be generated again
+// before it can be resumed at the same engine.
+func TestResumeAfterCancel(t *testing.T) {
+	const prefill = 20
+	f := start(t, &engineserver.Server{PrefillRate: prefill, TokenRate: 2000})
+	s := f.open("1", 0, body("a", 1e6))
+	received := 0
+	for received < 20*prefill {
+		next, err := s.Next()
+		assert.NilError(t, err)
+		received += len(next.Tokens)
+	}
+	assert.NilError(t, f.Cancel(context.Background(), f.address, "1"))
+	last(t, s)
+	f.until(0, 0)
+	r := bergamotdale.EngineRequest{RequestID: "1", Body: body("a", 1e6), ResumeFrom: received}
+	before := time.Now()
+	s, err := f.Complete(context.Background(), f.address, r)
+	assert.NilError(t, err)
+	defer s.Close()
+	next := bergamotdale.Frame{}
+	for next.Kind != bergamotdale.FrameData {
+		next, err = s.Next()
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, next.Offset, received)
+	assert.Assert(t, time.Since(before) < 10*time.Second, "the tokens take 20 s to generate again")
+	assert.DeepEqual(t, f.Counters().Resumes, map[string]int{"1": 1})
+}
+
+// Guards against a marked request that crashes the engine while it is queued,
+// or that spares the requests that run beside it.
+func TestCrashWhenStarted(t *testing.T) {
+	crashed := make(chan struct{})
+	faults := &injector.Injector{OnCrash: func() { close(crashed) }}
+	faults.Add(injector.Fault{Kind: injector.Crash, Mark: "poison", Count: 1})
+	f := start(t, &engineserver.Server{Slots: 2, Faults: faults})
+	long, beside := f.open("long", 0, body("a", 1e6)), f.open("beside", 0, body("a", 1e6))
+	f.until(2, 0)
+	poison := f.open("poison", 0, body("poison", 1))
+	f.until(2, 1)
+	select {
+	case <-crashed:
+		t.Fatal("crashed by a queued request")
+	default:
+	}
+	assert.NilError(t, f.Cancel(context.Background(), f.address, "long"))
+	last(t, long)
+	<-crashed
+	for _, s := range []bergamotdale.FrameStream{beside, poison} {
+		err := error(nil)
+		for err == nil {
+			_, err = s.Next()
+		}
+		refusal := &bergamotdale.Refusal{}
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		assert.Equal(t, refusal.Code, bergamotdale.CodeStreamLost)
+	}
+}
--- a/injector/fault.go
+++ b/injector/fault.go
@@ -1,7 +1,11 @@
 // Package injector injects faults into the fake servers. An Injector wraps
 // the handler of a server, is driven over the control path /faults or through
 // its methods, and applies each fault to the requests that the fault matches.
-// Control and counter paths stay reachable under every fault.
+// Control and counter paths stay reachable under every fault, but for a total
+// outage of a server without a control address.
+//
+// POST /faults adds the Fault in the body and returns it with its ID, GET
+// lists the faults in force, and DELETE removes the one of ?id=, or all.
 package injector
 
 import (
--- a/platformserver/platformserver.go
+++ b/platformserver/platformserver.go
@@ -1,6 +1,16 @@
 // Package platformserver is a fake of the platform: the key-value store of
 // kvserver with rate limits and counts of each call, and a VM list that lags
 // and can differ by caller.
+//
+// It serves:
+//
+//	/v1/kv/, /v1/txn, /v1/session/     see package kvserver
+//	GET /v1/vms                        VM list as the caller sees it
+//	PUT /settings/vms?caller=NAME      sets the list, or that of one caller
+//	GET /counters                      Counters
+//	    /faults                        see package injector
+//
+// The X-Caller header names the caller.
 package platformserver
 
 import (
--- a/serviceclient/serviceclient_test.go
+++ b/serviceclient/serviceclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -50,3 +51,20 @@
 		})
 	}
 }
+
+// Guards against a call that is reported as possibly run although no
+// connection could be opened, and against an error status of the service that
+// is taken as a refusal.
+func TestNoConnectionAndErrorStatus(t *testing.T) {
+	c := &serviceclient.Client{}
+	refusal := &bergamotdale.Refusal{}
+	_, err := c.Call(context.Background(), "127.0.0.1:1", bergamotdale.ServiceRequest{Call: "book"})
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeNotRun)
+
+	h := httptest.NewServer(http.NotFoundHandler())
+	defer h.Close()
+	resp, err := c.Call(context.Background(), strings.TrimPrefix(h.URL, "http://"), bergamotdale.ServiceRequest{Call: "book"})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Status, http.StatusNotFound)
+}
--- a/serviceserver/serviceserver.go
+++ b/serviceserver/serviceserver.go
@@ -1,6 +1,7 @@
 // Package serviceserver is a fake of a plain service. It executes POST /<call>
 // and counts the executions of each idempotency key and request id. It doesn't
-// deduplicate, so that a second execution of a call shows in the counts.
+// deduplicate, so that a second execution of a call shows in the counts, which
+// GET /counters returns. Package injector describes /faults.
 package serviceserver
 
 import (
