platformclient: keep the preferred store address when the VM list is read

A VM list read from an address of its own reset the preferred store address to the first one, so a write after it could be lost at a server that is down.

--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -92,16 +92,16 @@
 	body   []byte
 }
 
-// do sends the call to the addresses in turn until one answers.
-func (c *Client) do(ctx context.Context, k call, addresses []string) (response, error) {
-	if len(addresses) == 0 {
+// do sends the call to the store's addresses in turn until one answers.
+func (c *Client) do(ctx context.Context, k call) (response, error) {
+	if len(c.Addresses) == 0 {
 		return response{}, errors.Annotate(bergamotdale.ErrUnavailable, "no store address")
 	}
 	first := int(c.preferred.Load())
 	var last error
-	for n := range addresses {
-		at := (first + n) % len(addresses)
-		r, err := c.send(ctx, k, addresses[at])
+	for n := range c.Addresses {
+		at := (first + n) % len(c.Addresses)
+		r, err := c.send(ctx, k, c.Addresses[at])
 		if err == nil {
 			c.preferred.Store(int64(at))
 			return r, nil
@@ -181,11 +181,13 @@
 
 // ListVMs implements bergamotdale.VMLister.
 func (c *Client) ListVMs(ctx context.Context) ([]bergamotdale.VM, error) {
-	addresses := c.Addresses
+	k := call{method: http.MethodGet, path: "/v1/vms"}
+	r, err := response{}, error(nil)
 	if c.VMAddress != "" {
-		addresses = []string{c.VMAddress}
+		r, err = c.send(ctx, k, c.VMAddress)
+	} else {
+		r, err = c.do(ctx, k)
 	}
-	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/vms"}, addresses)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/platformclient/platformclient_test.go
+++ b/platformclient/platformclient_test.go
@@ -95,3 +95,22 @@
 	_, err = c.CompareAndSwap(ctx, "k", []byte("1"), 0)
 	assert.NilError(t, err)
 }
+
+// Guards against reading the VM list making the store's calls start at an
+// address that is down again.
+func TestPreferredAddress(t *testing.T) {
+	down := &platformserver.Server{Faults: &injector.Injector{}}
+	down.Faults.Add(injector.Fault{Kind: injector.Outage, Path: "/v1/kv/"})
+	first, c := start(t, down), start(t, &platformserver.Server{})
+	c.Addresses = append(first.Addresses, c.Addresses...)
+	c.VMAddress = c.Addresses[1]
+	ctx := context.Background()
+	for range 3 {
+		_, err := c.List(ctx, "k")
+		assert.NilError(t, err)
+		_, err = c.ListVMs(ctx)
+		assert.NilError(t, err)
+	}
+	_, err := c.CompareAndSwap(ctx, "k", nil, 0)
+	assert.NilError(t, err)
+}
--- a/platformclient/store.go
+++ b/platformclient/store.go
@@ -30,7 +30,7 @@
 
 // Get implements bergamotdale.Store.
 func (c *Client) Get(ctx context.Context, key string) (bergamotdale.Entry, error) {
-	r, err := c.do(ctx, call{method: http.MethodGet, path: kvPath(key)}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodGet, path: kvPath(key)})
 	if err != nil {
 		return bergamotdale.Entry{}, errors.Trace(err)
 	}
@@ -40,7 +40,7 @@
 // List implements bergamotdale.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]bergamotdale.Entry, error) {
 	k := call{method: http.MethodGet, path: kvPath(prefix), query: url.Values{"recurse": {""}}}
-	r, err := c.do(ctx, k, c.Addresses)
+	r, err := c.do(ctx, k)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -67,7 +67,7 @@
 	if err != nil {
 		return bergamotdale.Entry{}, errors.Trace(err)
 	}
-	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: body}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: body})
 	if err != nil {
 		return bergamotdale.Entry{}, errors.Trace(err)
 	}
@@ -92,7 +92,7 @@
 	index := after
 	for {
 		left := max(time.Until(deadline), 0)
-		r, err := c.do(ctx, watch(key, index, left), c.Addresses)
+		r, err := c.do(ctx, watch(key, index, left))
 		if err != nil {
 			return bergamotdale.Entry{}, errors.Trace(err)
 		}
@@ -122,7 +122,7 @@
 	if err != nil {
 		return "", errors.Trace(err)
 	}
-	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/create", body: body}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/create", body: body})
 	if err != nil {
 		return "", errors.Trace(err)
 	}
@@ -135,7 +135,7 @@
 
 // RenewLease implements bergamotdale.Store.
 func (c *Client) RenewLease(ctx context.Context, id bergamotdale.LeaseID) error {
-	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/renew/" + string(id), repeatable: true}, c.Addresses)
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/renew/" + string(id), repeatable: true})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -147,7 +147,7 @@
 
 // RevokeLease implements bergamotdale.Store.
 func (c *Client) RevokeLease(ctx context.Context, id bergamotdale.LeaseID) error {
-	_, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + string(id), repeatable: true}, c.Addresses)
+	_, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + string(id), repeatable: true})
 	return errors.Trace(err)
 }
 
@@ -161,7 +161,7 @@
 // didn't hold.
 func (c *Client) write(ctx context.Context, method, key string, value []byte, condition, operand string) error {
 	k := call{method: method, path: kvPath(key), query: url.Values{condition: {operand}}, body: value}
-	r, err := c.do(ctx, k, c.Addresses)
+	r, err := c.do(ctx, k)
 	if err != nil {
 		return errors.Trace(err)
 	}
