--- a/committer/committer.go
+++ b/committer/committer.go
@@ -7,38 +7,40 @@
 // single compare-and-swap commits a group of records and fails once another
 // owner has taken the shard over.
 //
-// The package has three layers. Records and journal are pure: they know what
-// is committed and build the next head. A Shard adds the calls in progress and
-// one loop that does all writes. Execute is the entry point of requests.
+// The work is shared by packages: journaler knows the committed records,
+// registrar the state of the keys in memory, fencer the store. This package
+// composes them: a Shard has one loop that does all writes, and Execute is the
+// entry point of requests.
 package committer
 
 import (
 	"context"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/fencer"
 	"github.com/bergamotdale/bergamotdale/hasher"
+	"github.com/bergamotdale/bergamotdale/journaler"
 )
 
 const (
 	// Shards is the number of shards.
 	Shards = 32
 	// MaxResponseBytes is the size up to which the body of a response is kept.
-	MaxResponseBytes = 8 << 10
+	MaxResponseBytes = journaler.MaxResponseBytes
 	// MaxKeyBytes bounds the idempotency key of a request.
 	MaxKeyBytes = 256
 )
 
 const (
 	// ErrFenced is returned where another owner has taken the shard over.
-	ErrFenced = errors.ConstError("shard taken over")
+	ErrFenced = fencer.ErrFenced
 	// ErrCorrupt is returned where the journal in the store cannot be read.
-	ErrCorrupt = errors.ConstError("journal corrupt")
+	ErrCorrupt = journaler.ErrCorrupt
 )
 
-// Request is a call that must not be repeated.
+// Request is a call that must not be repeated. The names of workspace, service
+// and call hold no NUL.
 type Request struct {
 	Workspace string
 	Service   string
@@ -50,13 +52,11 @@
 
 // ShardOf returns the shard of the request.
 func ShardOf(r Request) int {
-	return int(hasher.Hash(r.name()) % Shards)
+	return int(hasher.Hash(r.Workspace+"\x00"+r.Service+"\x00"+r.Key) % Shards)
 }
 
-// name identifies the request: keys of different workspaces and services are
-// unrelated. Workspace and service names hold no NUL.
-func (r Request) name() string {
-	return r.Workspace + "\x00" + r.Service + "\x00" + r.Key
+func (r Request) record() journaler.Record {
+	return journaler.NewRecord(r.Workspace, r.Service, r.Key, r.Call, r.Body)
 }
 
 // validate returns the refusal of a malformed request, or nil.
--- a/committer/shard.go
+++ b/committer/shard.go
@@ -5,49 +5,32 @@
 	"sync"
 	"time"
 
-	"github.com/bergamotdale/bergamotdale"
+	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale/fencer"
+	"github.com/bergamotdale/bergamotdale/registrar"
 )
 
+// idleWait is how long the loop waits where nothing is due.
+const idleWait = time.Hour
+
 // Shard is a shard owned by this process. Its methods may be called
 // concurrently. Run must run for calls to make progress.
 type Shard struct {
 	settings Settings
-	// wake tells the loop that there is work.
-	wake chan struct{}
 	// done is closed when the shard has stopped.
 	done chan struct{}
 
-	// The fields up to lock belong to the loop.
-
-	// version is the version of the committed head.
-	version int64
-	// sealing is a stored segment that no committed head lists yet.
-	sealing *segment
-	// garbage holds stored segments that the committed head does not list.
-	garbage []bergamotdale.Entry
-	// notBefore is the time of the next write that the interval allows.
-	notBefore time.Time
-	// nextProbe is the time of the next write or read while the store is down.
+	// fencer belongs to the loop, except for Fetch and Stats.
+	fencer *fencer.Fencer
+	// nextProbe is the time of the next access while the store is down. It
+	// belongs to the loop.
 	nextProbe time.Time
 
-	lock    sync.Mutex
-	journal *journal
-	// flights holds the calls in progress. A key has at most one.
-	flights map[recordID]*flight
-	// queue holds the records to commit by key, and order their sequence. A
-	// key has at most one; it belongs to the flight of the key if there is one.
-	queue map[recordID]queued
-	order []recordID
-	// writing is the batch under way; nil between writes.
-	writing map[recordID]queued
-	// down is true after a write failed, until one succeeds.
-	down bool
-	// fenced is true once another owner has taken over, stopped once Run has
-	// returned. draining refuses new keys.
-	fenced, stopped, draining bool
-	// idle is closed when nothing is in progress; nil while nobody waits.
-	idle  chan struct{}
-	stats Stats
+	// lock guards the fields below. It is not held during I/O.
+	lock     sync.Mutex
+	register *registrar.Register
+	calls    int64
 	// fetched is the sealed segment that was read last, for repeats.
 	fetched fetched
 }
@@ -58,69 +41,48 @@
 	value  []byte
 }
 
-// queued is a record that waits for its commit.
-type queued struct {
-	record record
-	// text is the encoded record.
-	text []byte
-	// flight is nil for a record whose client has its response already.
-	flight *flight
-}
-
-// phase is the progress of a flight.
-type phase int
-
-const (
-	// waiting means that the intent is not committed.
-	waiting phase = iota
-	// granted means that the intent is committed and the call may start.
-	granted
-	// running means that the call has started.
-	running
-	// recording means that the call has ended and its record is not committed.
-	recording
-)
-
-// flight is a call in progress. The lock of the shard guards it.
-type flight struct {
-	// record is the record of the request without state and time.
-	record record
-	phase  phase
-	// grant is closed when the phase leaves waiting, done at the end.
-	grant, done chan struct{}
-	// ended is true once done is closed; the result does not change then.
-	ended    bool
-	response Response
-	refusal  *bergamotdale.Refusal
-	// abandoned is true where the client left before the call started. A
-	// repeat may start its own flight.
-	abandoned bool
-}
-
 // Stats counts the work of a shard.
 type Stats struct {
-	// HeadWrites, SegmentWrites and Deletes are calls of the store, failed ones
-	// included.
-	HeadWrites, SegmentWrites, Deletes int64
-	// Bytes is the size of the values written.
-	Bytes int64
+	fencer.Stats
 	// Calls is the number of calls that were started.
 	Calls int64
-	// Records is the number of records in memory and Segments the number of
-	// sealed segments.
-	Records, Segments int
+	// Records is the number of records in memory, Segments the number of sealed
+	// segments and Queued the number of records that wait for a commit.
+	Records, Segments, Queued int
 	// Down reports whether the store is unavailable.
 	Down bool
 }
 
-func newShard(settings Settings) *Shard {
-	return &Shard{
-		settings: settings,
-		wake:     make(chan struct{}, 1),
-		done:     make(chan struct{}),
-		flights:  map[recordID]*flight{},
-		queue:    map[recordID]queued{},
+// Open takes the shard over: it reads the journal and fences the previous
+// owner. It returns ErrFenced if the journal has a later epoch, or the same
+// epoch with another owner. After any other error the caller may try again
+// under the same epoch.
+func Open(ctx context.Context, settings Settings) (*Shard, error) {
+	settings = settings.withDefaults()
+	if settings.Lifetime <= settings.CallTimeout {
+		return nil, errors.Errorf("lifetime %v of records is not above the call timeout %v",
+			settings.Lifetime, settings.CallTimeout)
+	}
+	f, journal, err := fencer.Open(ctx, fencer.Settings{
+		Shard:    settings.Number,
+		Epoch:    settings.Epoch,
+		Owner:    settings.Owner,
+		Store:    settings.Store,
+		Clock:    settings.Clock,
+		Lifetime: settings.Lifetime,
+		Timeout:  settings.StoreTimeout,
+		Interval: settings.Interval,
+		Burst:    settings.Burst,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
+	register := registrar.New(registrar.Settings{
+		Shard:      settings.Number,
+		RetryAfter: settings.ProbeInterval,
+		Held:       settings.Held,
+	}, journal)
+	return &Shard{settings: settings, done: make(chan struct{}), fencer: f, register: register}, nil
 }
 
 // Done is closed when the shard has stopped.
@@ -142,30 +104,28 @@
 func (s *Shard) Fenced() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.fenced
+	return s.register.Fenced()
 }
 
 // Stats returns the present counts.
 func (s *Shard) Stats() Stats {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	stats := s.stats
-	stats.Records = len(s.journal.index)
-	stats.Segments = len(s.journal.head.Sealed)
-	stats.Down = s.down
-	return stats
+	return Stats{
+		Stats:    s.fencer.Stats(),
+		Calls:    s.calls,
+		Records:  s.register.Journal().Records(),
+		Segments: len(s.register.Journal().Head().Sealed),
+		Queued:   s.register.Queued(),
+		Down:     s.register.Down(),
+	}
 }
 
 // Drain refuses new keys from now on and waits until no call is in progress
-// and every record is committed.
+// and every record is committed, or the shard has stopped.
 func (s *Shard) Drain(ctx context.Context) error {
 	s.lock.Lock()
-	s.draining = true
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	idle := s.idle
-	s.signalIdle()
+	idle := s.register.Drain()
 	s.lock.Unlock()
 	select {
 	case <-idle:
@@ -177,73 +137,150 @@
 	}
 }
 
-// signalIdle wakes Drain where nothing is in progress.
-func (s *Shard) signalIdle() {
-	if s.idle == nil || len(s.flights) > 0 || len(s.queue) > 0 || len(s.writing) > 0 {
-		return
-	}
-	close(s.idle)
-	s.idle = nil
+// Run commits records until the context ends or the shard is fenced, in which
+// case it returns ErrFenced. The shard has stopped for good then: requests that
+// wait for a commit are refused, and calls in progress end without a record.
+func (s *Shard) Run(ctx context.Context) error {
+	err := s.loop(ctx)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	// After any error it is not certain that no other owner exists.
+	s.register.Stop(err != nil, s.settings.Clock.Now())
+	close(s.done)
+	return err
 }
 
-// notify wakes the loop.
-func (s *Shard) notify() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
+func (s *Shard) loop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if wait := s.untilWork(); wait > 0 {
+			select {
+			case <-s.register.Wake():
+			case <-s.settings.Clock.After(wait):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := s.step(ctx); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
-// enqueue adds a record to the next commit. It replaces a queued record of the
-// same key.
-func (s *Shard) enqueue(r record, f *flight) {
-	text, err := encodeLine(r)
-	if err != nil {
-		// Records hold only strings and numbers.
-		panic(err)
+// untilWork returns the time until the next access of the store.
+func (s *Shard) untilWork() time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	now := s.settings.Clock.Now()
+	if s.register.Down() {
+		return s.nextProbe.Sub(now)
+	}
+	wait := idleWait
+	if at, ok := s.register.Journal().NextExpiry(); ok {
+		wait = at.Sub(now)
+	}
+	if s.register.Queued() > 0 || s.fencer.Garbage() > 0 {
+		wait = 0
 	}
-	s.requeue(queued{record: r, text: text, flight: f})
-	s.notify()
+	return max(wait, s.fencer.NotBefore().Sub(now))
 }
 
-// release queues a free record for a committed intent whose call never runs,
-// unless a flight of the key is about to replace it.
-func (s *Shard) release(r record) {
-	if s.stopped || s.flights[r.id] != nil || s.journal.index[r.id].state != unused {
-		return
+// step does what is due: it commits, or probes a store that was unavailable,
+// and deletes one segment that is no longer needed.
+func (s *Shard) step(ctx context.Context) error {
+	commit, probe := s.due()
+	if probe {
+		return s.probe(ctx)
 	}
-	if _, ok := s.queue[r.id]; ok {
-		return
+	if commit {
+		if err := s.commit(ctx); err != nil {
+			return err
+		}
 	}
-	s.enqueue(r.in(free, s.now()), nil)
+	if _, down := s.due(); !down {
+		s.fencer.Collect(ctx)
+	}
+	return nil
 }
 
-// finish ends a flight with its result.
-func (s *Shard) finish(f *flight) {
-	if f.ended {
-		return
+// due reports whether there is something to commit, and whether the store has
+// to be probed instead.
+func (s *Shard) due() (commit, probe bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	at, ok := s.register.Journal().NextExpiry()
+	commit = s.register.Queued() > 0 || (ok && !at.After(s.settings.Clock.Now()))
+	return commit, s.register.Down() && !commit
+}
+
+// commit writes the queued records with the next head, and before it the open
+// segment under its own key where it is full.
+func (s *Shard) commit(ctx context.Context) error {
+	sealErr := s.seal(ctx)
+	s.lock.Lock()
+	batch, err := s.register.Take(s.settings.Clock.Now())
+	s.lock.Unlock()
+	if err != nil {
+		return err
+	}
+	if sealErr == nil {
+		err = s.fencer.Write(ctx, batch.Proposal.Value)
 	}
-	f.ended = true
-	if s.flights[f.record.id] == f {
-		delete(s.flights, f.record.id)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	now := s.settings.Clock.Now()
+	switch {
+	case errors.Is(err, ErrFenced):
+		return err
+	case sealErr != nil || err != nil:
+		s.nextProbe = now.Add(s.settings.ProbeInterval)
+		s.register.Failed(errors.Trace(firstError(sealErr, err)), now)
+		return nil
 	}
-	if f.phase == waiting {
-		close(f.grant)
+	s.fencer.Discard(batch.Proposal.Dropped)
+	return s.register.Committed(batch, now)
+}
+
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
 	}
-	close(f.done)
-	s.signalIdle()
+	return nil
 }
 
-func (s *Shard) now() int64 {
-	return s.journal.now(s.settings.Clock.Now())
+// seal stores the open segment where it is full. No record is added to it
+// before the next head lists it.
+func (s *Shard) seal(ctx context.Context) error {
+	s.lock.Lock()
+	segment, lines, ok := s.register.Due(s.settings.SegmentBytes)
+	s.lock.Unlock()
+	if !ok {
+		return nil
+	}
+	segment, err := s.fencer.Seal(ctx, segment, lines)
+	if err != nil {
+		return err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.register.Sealed(segment)
+	return nil
 }
 
-// refuse returns a refusal of a request whose call did not start. Its outcome
-// is not-run only where no other owner can have executed the key.
-func (s *Shard) refuse(code bergamotdale.Code, format string, args ...any) *bergamotdale.Refusal {
-	r := bergamotdale.Refuse(code, format, args...)
-	if s.fenced || s.stopped || !s.settings.Held() {
-		r.Outcome = bergamotdale.OutcomeUnknown
+// probe reads the head to see whether the store is back.
+func (s *Shard) probe(ctx context.Context) error {
+	err := s.fencer.Probe(ctx)
+	if errors.Is(err, ErrFenced) {
+		return err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if err != nil {
+		s.nextProbe = s.settings.Clock.Now().Add(s.settings.ProbeInterval)
+		return nil
 	}
-	return r
+	s.register.Recovered()
+	return nil
 }
--- a/committer/access.go
+++ b/fencer/access.go
@@ -1,4 +1,4 @@
-package committer
+package fencer
 
 import (
 	"bytes"
@@ -10,20 +10,6 @@
 	"github.com/bergamotdale/bergamotdale"
 )
 
-// listTimeout bounds the listing of all segments, which may be tens of MB.
-const listTimeout = 10 * time.Second
-
-// errNotLanded is returned for a write that has had no effect when its key was
-// read back. It may still take effect.
-const errNotLanded = errors.ConstError("write without effect so far")
-
-// bounded runs a call of the store with a time limit on the clock.
-func (s *Shard) bounded(ctx context.Context, f func(ctx context.Context) error) error {
-	ctx, cancel := withTimeout(ctx, s.settings.Clock, s.settings.StoreTimeout)
-	defer cancel()
-	return f(ctx)
-}
-
 // withTimeout is context.WithTimeout on a clock.
 func withTimeout(ctx context.Context, c bergamotdale.Clock, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -38,26 +24,17 @@
 	return ctx, cancel
 }
 
-func (s *Shard) get(ctx context.Context, key string) (bergamotdale.Entry, error) {
-	var e bergamotdale.Entry
-	err := s.bounded(ctx, func(ctx context.Context) error {
-		var err error
-		e, err = s.settings.Store.Get(ctx, key)
-		return err
-	})
+func (f *Fencer) get(ctx context.Context, key string) (bergamotdale.Entry, error) {
+	ctx, cancel := withTimeout(ctx, f.settings.Clock, f.settings.Timeout)
+	defer cancel()
+	e, err := f.settings.Store.Get(ctx, key)
 	return e, errors.Trace(err)
 }
 
-// list returns the stored segments by key.
-func (s *Shard) list(ctx context.Context) (map[string]bergamotdale.Entry, error) {
-	ctx, cancel := withTimeout(ctx, s.settings.Clock, listTimeout)
+func (f *Fencer) compareAndSwap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
+	ctx, cancel := withTimeout(ctx, f.settings.Clock, f.settings.Timeout)
 	defer cancel()
-	entries, err := s.settings.Store.List(ctx, segmentPrefix(s.settings.Number))
-	byKey := make(map[string]bergamotdale.Entry, len(entries))
-	for _, e := range entries {
-		byKey[e.Key] = e
-	}
-	return byKey, errors.Trace(err)
+	return f.settings.Store.CompareAndSwap(ctx, key, value, version)
 }
 
 // swap writes a value that is unique by its instance and sequence. It settles
@@ -65,13 +42,8 @@
 // ErrConflict with the present entry where the key holds another value,
 // ErrUnavailable where the store did not execute the write, errNotLanded where
 // it has had no effect so far, and ErrAmbiguous where the key cannot be read.
-func (s *Shard) swap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
-	var e bergamotdale.Entry
-	err := s.bounded(ctx, func(ctx context.Context) error {
-		var err error
-		e, err = s.settings.Store.CompareAndSwap(ctx, key, value, version)
-		return err
-	})
+func (f *Fencer) swap(ctx context.Context, key string, value []byte, version int64) (bergamotdale.Entry, error) {
+	e, err := f.compareAndSwap(ctx, key, value, version)
 	// The entry is compared with the value, because a store that reports no
 	// version with the write has to be read, and the entry read may be the
 	// write of the next owner.
@@ -81,7 +53,7 @@
 	if errors.Is(err, bergamotdale.ErrUnavailable) {
 		return e, errors.Trace(err)
 	}
-	present, readErr := s.get(ctx, key)
+	present, readErr := f.get(ctx, key)
 	if readErr != nil && !errors.Is(readErr, bergamotdale.ErrNotFound) {
 		return present, errors.Annotatef(bergamotdale.ErrAmbiguous, "%s: write %v, read %v", key, err, readErr)
 	}
--- a/streamer/buffer.go
+++ b/replayer/buffer.go
@@ -1,4 +1,4 @@
-package streamer
+package replayer
 
 import (
 	"container/list"
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 // Buffer holds the frames of one response in a Replayer. One goroutine writes
@@ -21,7 +22,7 @@
 
 	// The fields below are guarded by the lock of the replayer.
 
-	verifier *Verifier
+	verifier *streamer.Verifier
 	// frames holds the data frames from the offset first on, and the final
 	// frame once there is one. Their offsets are contiguous.
 	frames []bergamotdale.Frame
@@ -38,14 +39,14 @@
 }
 
 // Position returns the position after the last frame.
-func (b *Buffer) Position() Position {
+func (b *Buffer) Position() streamer.Position {
 	b.replayer.lock.Lock()
 	defer b.replayer.lock.Unlock()
 	return b.verifier.Position()
 }
 
 // Append adds a frame. Duplicates and heartbeats are not kept. It returns the
-// error of the Verifier for a frame that does not continue the response.
+// error of the verifier for a frame that does not continue the response.
 func (b *Buffer) Append(f bergamotdale.Frame) error {
 	r := b.replayer
 	r.lock.Lock()
@@ -134,7 +135,7 @@
 	}
 	f := b.frames[i]
 	if f.Kind == bergamotdale.FrameData {
-		f, _ = trim(f, offset)
+		f, _ = streamer.Trim(f, offset)
 	}
 	return f, true
 }
@@ -170,7 +171,7 @@
 		select {
 		case <-changed:
 		case <-r.done:
-			return bergamotdale.Frame{}, ErrClosed
+			return bergamotdale.Frame{}, streamer.ErrClosed
 		case <-r.ctx.Done():
 			return bergamotdale.Frame{}, r.ctx.Err()
 		}
--- a/streamer/replayer.go
+++ b/replayer/replayer.go
@@ -1,4 +1,7 @@
-package streamer
+// Package replayer keeps the frames of responses in memory, so that a client
+// that reconnects, or a second reader, gets the rest of a response from any
+// offset.
+package replayer
 
 import (
 	"container/list"
@@ -9,14 +12,15 @@
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 const (
 	// Retention is the time for which a complete response can be replayed.
 	Retention = 60 * time.Second
-	// DefaultReplayBytes bounds the replay buffers of a process. It is a quarter
+	// DefaultBytes bounds the replay buffers of a process. It is a quarter
 	// of the 128 MB that the control plane may use per node.
-	DefaultReplayBytes = 32 << 20
+	DefaultBytes = 32 << 20
 )
 
 const (
@@ -53,9 +57,9 @@
 	bytes    int64
 }
 
-// NewReplayer returns a replayer that keeps complete responses for the
+// New returns a replayer that keeps complete responses for the
 // retention and at most maxBytes in all.
-func NewReplayer(c bergamotdale.Clock, retention time.Duration, maxBytes int64) *Replayer {
+func New(c bergamotdale.Clock, retention time.Duration, maxBytes int64) *Replayer {
 	return &Replayer{
 		clock:     c,
 		retention: retention,
@@ -68,7 +72,7 @@
 // Open starts the buffer of a response at the position. It replaces a buffer
 // that was cut, and one that ended with a refusal. It returns ErrExists while
 // a response is written or after it has ended completely.
-func (r *Replayer) Open(requestID string, p Position) (*Buffer, error) {
+func (r *Replayer) Open(requestID string, p streamer.Position) (*Buffer, error) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.expire()
@@ -80,7 +84,7 @@
 	}
 	b := &Buffer{
 		replayer: r,
-		verifier: NewVerifier(requestID, p),
+		verifier: streamer.NewVerifier(requestID, p),
 		id:       requestID,
 		first:    p.Offset,
 		bytes:    bufferOverhead,
--- a/streamer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -1,8 +1,9 @@
-package streamer_test
+package replayer_test
 
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,9 +14,31 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
+const requestID = "request-1"
+
+var clock bergamotdale.SystemClock
+
+// drain reads a stream to its end. It returns the tokens, the final frame and
+// the error that cut the stream.
+func drain(s bergamotdale.FrameStream) ([]string, bergamotdale.Frame, error) {
+	var tokens []string
+	var last bergamotdale.Frame
+	for {
+		f, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return tokens, last, nil
+		}
+		if err != nil {
+			return tokens, last, err
+		}
+		tokens, last = append(tokens, f.Tokens...), f
+	}
+}
+
 // Guards against a reader that misses or repeats tokens when it joins while the
 // response is written or within the retention, and against one that succeeds
 // after it.
@@ -24,12 +47,12 @@
 }
 
 func checkReaders(t *rapid.T) {
-	tokens := words(rapid.IntRange(1, 20).Draw(t, "tokens"))
-	r := streamer.NewReplayer(clock, streamer.Retention, streamer.DefaultReplayBytes)
+	tokens := rapid.SliceOfN(rapid.String(), 1, 20).Draw(t, "tokens")
+	r := replayer.New(clock, replayer.Retention, replayer.DefaultBytes)
 	b, err := r.Open(requestID, streamer.Position{})
 	assert.NilError(t, err)
 	_, err = r.Open(requestID, streamer.Position{})
-	assert.ErrorIs(t, err, streamer.ErrExists)
+	assert.ErrorIs(t, err, replayer.ErrExists)
 	var readers sync.WaitGroup
 	defer readers.Wait()
 	defer b.Cut(errors.New("test ended"))
@@ -44,18 +67,22 @@
 			}
 		})
 	}
-	for _, f := range frames(t, tokens, 0) {
+	framer := streamer.NewFramer(requestID, streamer.Position{})
+	for framer.Position().Offset < len(tokens) {
+		from := framer.Position().Offset
+		n := rapid.IntRange(1, len(tokens)-from).Draw(t, "frame-tokens")
+		assert.NilError(t, b.Append(framer.Data(tokens[from:from+n]...)))
 		for range rapid.IntRange(0, 2).Draw(t, "readers") {
 			read(rapid.IntRange(0, b.Position().Offset).Draw(t, "offset"))
 		}
-		assert.NilError(t, b.Append(f))
 	}
-	<-clock.After(streamer.Retention - time.Second)
+	assert.NilError(t, b.Append(framer.End("stop")))
+	<-clock.After(replayer.Retention - time.Second)
 	read(rapid.IntRange(0, len(tokens)).Draw(t, "late-offset"))
 	readers.Wait()
 	<-clock.After(time.Second)
 	_, err = r.Read(context.Background(), requestID, 0)
-	assert.ErrorIs(t, err, streamer.ErrNoReplay)
+	assert.ErrorIs(t, err, replayer.ErrNoReplay)
 	assert.Equal(t, r.Bytes(), int64(0))
 }
 
@@ -64,7 +91,7 @@
 func TestReplayerMemoryIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 8192
-		r := streamer.NewReplayer(clock, streamer.Retention, limit)
+		r := replayer.New(clock, replayer.Retention, limit)
 		var finished []string
 		for i := range rapid.IntRange(1, 30).Draw(t, "responses") {
 			id := fmt.Sprintf("request-%d", i)
@@ -81,7 +108,7 @@
 		dropped := true
 		for _, id := range finished {
 			_, err := r.Read(context.Background(), id, 0)
-			gone := errors.Is(err, streamer.ErrNoReplay)
+			gone := errors.Is(err, replayer.ErrNoReplay)
 			assert.Assert(t, dropped || !gone, "%s is gone, an earlier one is not", id)
 			dropped = gone
 		}
@@ -93,7 +120,7 @@
 // was cut, and against a cut response that cannot be written again.
 func TestCutBufferCanBeReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := streamer.NewReplayer(clock, streamer.Retention, streamer.DefaultReplayBytes)
+		r := replayer.New(clock, replayer.Retention, replayer.DefaultBytes)
 		b, err := r.Open(requestID, streamer.Position{})
 		assert.NilError(t, err)
 		f := streamer.NewFramer(requestID, streamer.Position{})
@@ -111,6 +138,6 @@
 		_, err = r.Open(requestID, b.Position())
 		assert.NilError(t, err)
 		_, err = r.Read(context.Background(), requestID, 0)
-		assert.ErrorIs(t, err, streamer.ErrOffsetGone)
+		assert.ErrorIs(t, err, replayer.ErrOffsetGone)
 	})
 }
--- a/streamer/checksum.go
+++ b/streamer/checksum.go
@@ -5,8 +5,7 @@
 // Offsets count tokens. Data frames are contiguous, and the end frame holds
 // the length and a checksum of the whole response. A Verifier on the receiving
 // side enforces both, so a Resumer can replace a broken stream by a new one
-// from its offset. A Replayer keeps the frames of a response for readers that
-// join late or return. A Watchdog bounds the time without a frame.
+// from its offset. A Watchdog bounds the time without a frame.
 package streamer
 
 import (
--- a/streamer/verifier.go
+++ b/streamer/verifier.go
@@ -84,7 +84,7 @@
 	if f.Offset > v.position.Offset || f.Offset < 0 {
 		return f, false, errors.Annotatef(ErrGap, "frame at %d, expected %d", f.Offset, v.position.Offset)
 	}
-	f, fresh := trim(f, v.position.Offset)
+	f, fresh := Trim(f, v.position.Offset)
 	if !fresh {
 		return f, false, nil
 	}
@@ -107,9 +107,9 @@
 	return f, true, nil
 }
 
-// trim removes the tokens of a data frame before the offset. It returns false
+// Trim removes the tokens of a data frame before the offset. It returns false
 // where no token remains.
-func trim(f bergamotdale.Frame, offset int) (bergamotdale.Frame, bool) {
+func Trim(f bergamotdale.Frame, offset int) (bergamotdale.Frame, bool) {
 	skip := offset - f.Offset
 	if skip >= len(f.Tokens) {
 		return f, false
