--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,8 +18,8 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
-	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 // Policy is the part of the configuration that admission needs. It is
@@ -94,7 +94,7 @@
 	Ownership  Ownership
 	Loads      Loads
 	Quarantine Quarantine
-	Replayer   *streamer.Replayer
+	Replayer   *replayer.Replayer
 	// PollInterval is the time between two load reports of an engine.
 	PollInterval time.Duration
 
@@ -120,7 +120,7 @@
 	d.readers = map[string]*audience{}
 	d.received = map[string]Handover{}
 	d.mu.Unlock()
-	for bergamotdale.Wait(ctx, d.Clock, streamer.Retention/4) == nil {
+	for bergamotdale.Wait(ctx, d.Clock, replayer.Retention/4) == nil {
 		d.Replayer.Sweep()
 	}
 	return nil
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
 	"github.com/bergamotdale/bergamotdale/streamer"
 )
@@ -29,7 +30,7 @@
 type job struct {
 	id         string
 	completion bergamotdale.Completion
-	buffer     *streamer.Buffer
+	buffer     *replayer.Buffer
 	running    bool
 	preempted  bool
 	// started is when the job last got a slot.
--- a/router/router.go
+++ b/router/router.go
@@ -27,9 +27,9 @@
 	"github.com/bergamotdale/bergamotdale/forwarder"
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/sharder"
-	"github.com/bergamotdale/bergamotdale/streamer"
 )
 
 // loadPollInterval is the time between two load reports of an owned engine.
@@ -182,7 +182,7 @@
 		Ownership:    &ownership{r},
 		Loads:        &loads{r},
 		Quarantine:   r.suspects,
-		Replayer:     streamer.NewReplayer(r.clock, streamer.Retention, streamer.DefaultReplayBytes),
+		Replayer:     replayer.New(r.clock, replayer.Retention, replayer.DefaultBytes),
 		PollInterval: loadPollInterval,
 	}
 	r.callers = &caller.Caller{
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -19,6 +19,10 @@
 const (
 	// namePrefix starts the ownership name of every shard.
 	namePrefix = "shard/"
+	// journalBurst lets the response of a lone call be written right after its
+	// intent: 5 ms instead of 215 ms at the median. The average rate of writes
+	// stays the same.
+	journalBurst = 2
 	// openRetry is the wait after a shard could not be opened.
 	openRetry = time.Second
 )
@@ -163,6 +167,7 @@
 			Store:    s.Store,
 			Clock:    s.Clock,
 			Lifetime: s.Lifetime(),
+			Burst:    journalBurst,
 			Held:     func() bool { return s.Held(name) },
 		})
 		if err == nil {
