--- a/fleettester/document.go
+++ b/fleettester/document.go
@@ -21,6 +21,9 @@
 	failureDomains = 3
 )
 
+// MaxConcurrency is the configured concurrency of every engine.
+const MaxConcurrency = 8
+
 // domain spreads the parts of the fleet over failure domains.
 func (f *Fleet) domain(i int) string {
 	return fmt.Sprintf("domain-%d", i%failureDomains+1)
@@ -43,7 +46,7 @@
 	d.Limits.SetDefaults()
 	for i, e := range f.engines {
 		d.Engines = append(d.Engines, validator.EngineSpec{
-			Name: e.Name, Address: e.Address, FailureDomain: f.domain(i), Models: []string{Model}, MaxConcurrency: 8,
+			Name: e.Name, Address: e.Address, FailureDomain: f.domain(i), Models: []string{Model}, MaxConcurrency: MaxConcurrency,
 		})
 	}
 	if len(f.services) > 0 {
--- a/fleettester/engine.go
+++ b/fleettester/engine.go
@@ -32,6 +32,8 @@
 	faults  *injector.Injector
 	stop    context.CancelFunc
 	crashes int
+	// highest is the highest number of requests of earlier incarnations.
+	highest int
 }
 
 // startEngine starts the engine with the index.
@@ -78,6 +80,9 @@
 func (e *Engine) replace(listener net.Listener, stop context.CancelFunc) *engineserver.Server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.server != nil {
+		e.highest = max(e.highest, e.server.Counters().MaxInFlight)
+	}
 	if e.faults == nil {
 		e.faults = &injector.Injector{OnCrash: e.Crash}
 	}
@@ -129,3 +134,11 @@
 func (e *Engine) Counters() engineserver.Counters {
 	return e.current().Counters()
 }
+
+// MaxInFlight returns the highest number of requests that the engine has had at
+// the same time.
+func (e *Engine) MaxInFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.highest, e.server.Counters().MaxInFlight)
+}
--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -180,7 +180,7 @@
 	}
 	settings.Stores = []string{f.platform.Address}
 	settings.VMList = f.platform.Address
-	settings.DrainDeadline = time.Minute
+	settings.DrainDeadline = 11 * time.Minute
 	if f.Settings != nil {
 		f.Settings(settings)
 	}
--- /dev/null
+++ b/soaker/check.go
@@ -0,0 +1,92 @@
+package soaker
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/fleettester"
+	"github.com/bergamotdale/bergamotdale/generator"
+)
+
+// checkCalls compares what clients were told with the executions that the
+// services counted (I3, I4).
+func (s *Soaker) checkCalls() {
+	executions := map[string]int{}
+	for i := range services {
+		for key, n := range s.fleet.ServiceAt(i).Counters().ByKey {
+			executions[key] += n
+		}
+	}
+	for key, record := range s.calls {
+		n := executions[key]
+		if n > 1 {
+			s.violate("I4: %s was executed %d times", key, n)
+		}
+		if len(record.responses) > 1 {
+			s.violate("I4: %s got %d different responses", key, len(record.responses))
+		}
+		if len(record.responses) > 0 && n == 0 {
+			s.violate("I4: %s was confirmed but never executed", key)
+		}
+		if record.unknown == 0 && len(record.responses) == 0 && n > 0 {
+			s.violate("I3: %s was only refused as not-run, but executed %d times", key, n)
+		}
+		s.counts["keys"]++
+		if n == 1 {
+			s.counts["keys executed once"]++
+		}
+	}
+}
+
+// checkEngines compares the highest number of requests in each engine with its
+// configured concurrency (I1).
+func (s *Soaker) checkEngines() {
+	for i := range engines {
+		e := s.fleet.EngineAt(i)
+		highest := e.MaxInFlight()
+		s.counts["highest load of "+e.Name] = highest
+		if highest > fleettester.MaxConcurrency {
+			s.violate("I1: %s had %d requests, its limit is %d", e.Name, highest, fleettester.MaxConcurrency)
+		}
+	}
+}
+
+// revisionPoll is the time between two looks at a router's revision.
+const revisionPoll = 200 * time.Millisecond
+
+// watchRevisions checks that the revision of each router never falls (I7).
+func (s *Soaker) watchRevisions(ctx context.Context, running func() bool) {
+	for running() {
+		for i := range routers {
+			s.watchRevision(ctx, s.fleet.Router(i))
+		}
+		if bergamotdale.Wait(ctx, s.clock, revisionPoll) != nil {
+			return
+		}
+	}
+}
+
+// watchRevision asks one router for its revision. Any response names it.
+func (s *Soaker) watchRevision(ctx context.Context, r *fleettester.Router) {
+	ctx, cancel := context.WithTimeout(ctx, revisionPoll)
+	defer cancel()
+	result, err := s.client.Call(ctx, generator.Call{
+		URL: r.URL, Workspace: fleettester.Workspace, Service: "none", Call: "none", Body: []byte("{}"),
+	})
+	if err != nil {
+		return
+	}
+	revision, err := strconv.ParseInt(result.Revision, 10, 64)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	before := s.revisions[r.Name]
+	s.revisions[r.Name] = max(before, revision)
+	s.mu.Unlock()
+	if revision < before {
+		s.violate("I7: %s went back from revision %d to %d", r.Name, before, revision)
+	}
+}
