elector: split into leaser, claimer, holder and planner; tests under faults

- a router cut off from the store took the later silence of the others for an outage and admitted fully beside the new owner.
Full admission now also asks that nobody had contact with the store after this router's lease expired;
- a handover passed on the full limit that its sender did not have.
The message now says whether foreign load was ruled out;
- a router paused between its claim and the response held the name beside the next owner.
It now admits nothing until it has raised the epoch again.

By reading, before any run: after a lost lease an owner only read its record again, which does not stop a claim under way. It now writes it again.

Ruled out: letting only routers that reach a majority claim. It would close what remains of the first fault, but a fleet that loses three quarters of its routers could then claim nothing.

Change: as above. leaser keeps the lease and decides the admission mode, claimer reads and writes records, holder keeps what is held, planner decides what to claim and hand over.

--- a/elector/handover.go
+++ b/elector/handover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/claimer"
 )
 
 // handover offers names to their next owner. Admission stops first. A name
@@ -26,9 +27,8 @@
 		results[r.Name] = r
 	}
 	for _, item := range request.Names {
-		name := item.Ownership.Name
-		e.finishHandover(name, handoverResult(results[name], err))
-		e.end(name)
+		e.finishHandover(item.Ownership.Name, handoverResult(results[item.Ownership.Name], err))
+		e.held.End(item.Ownership.Name)
 	}
 	if err != nil {
 		e.Logger.Info("handover-failed", zap.String("successor", successor.ID), zap.Error(err))
@@ -42,32 +42,25 @@
 	case err == nil && r.Status != "":
 		return r
 	case errors.As(err, &refusal) && refusal.Outcome == bergamotdale.OutcomeNotRun:
-		r.Status = HandoverRejected
-	default:
-		r.Status = HandoverUnknown
+		return HandoverResult{Status: claimer.StatusRejected}
 	}
-	return r
+	return HandoverResult{Status: claimer.StatusUnknown}
 }
 
-// offer stops admission to the names and returns the request.
+// offer stops admission to the names and returns the request. The names stay
+// reserved.
 func (e *Elector) offer(names []string) HandoverRequest {
 	request := HandoverRequest{From: e.Self.ID}
 	for _, name := range names {
-		if !e.begin(name) {
+		if !e.held.Begin(name) {
 			continue
 		}
-		e.mu.Lock()
-		h := e.held[name]
-		if h != nil {
-			h.handing = true
-			e.publish()
-		}
-		e.mu.Unlock()
-		if h == nil {
-			e.end(name)
+		h, held := e.held.Stop(name)
+		if !held {
+			e.held.End(name)
 			continue
 		}
-		item := HandoverItem{Ownership: h.Ownership}
+		item := HandoverItem{Ownership: h.Ownership, Full: h.Full}
 		if e.State != nil {
 			item.State = e.State(name)
 		}
@@ -81,139 +74,86 @@
 
 // finishHandover takes in the result of one name.
 func (e *Elector) finishHandover(name string, r HandoverResult) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.Status == HandoverClaimed {
-		e.observe(r.Ownership, 0)
-	}
-	h := e.held[name]
-	if h == nil {
+	switch r.Status {
+	case claimer.StatusClaimed:
+		e.See(r.Ownership)
+	case claimer.StatusRejected:
+		e.held.Resume(name)
 		return
 	}
-	h.retryHandover = e.Clock.Now().Add(retryMin)
-	if r.Status == HandoverRejected {
-		h.handing = false
-		e.publish()
-		return
-	}
-	h.unsettled = true
+	e.held.Doubt(name)
 }
 
-// settle finds out whether a handover took effect. If not, it raises the epoch
-// of the record, so that a claim by the successor that is still on its way
-// cannot take effect, and goes on owning the name.
+// settle finds out whether this router still owns a name. If so it raises the
+// epoch of the record, so that a claim by another router that is still on its
+// way cannot take effect, and goes on owning the name.
 func (e *Elector) settle(ctx context.Context, name string) {
-	if !e.begin(name) {
-		return
-	}
-	defer e.end(name)
 	r, err := e.read(ctx, name)
-	if err != nil {
+	h, held := e.held.View()[name]
+	if err != nil || !held {
 		return
 	}
-	e.mu.Lock()
-	h := e.held[name]
-	e.mu.Unlock()
-	if h == nil {
-		return
-	}
-	if !r.found || r.Nonce != h.Nonce && !e.isPending(r) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.held[name] == h {
-			e.lose(h, "the record has another writer")
+	o, status := r.Ownership, claimer.StatusClaimed
+	if !e.records.Adopt(r) {
+		if !r.Found || r.Nonce != h.Nonce {
+			// The record has another writer.
+			e.lose(name, h.Epoch+1)
+			return
 		}
-		return
+		o, status = e.records.Claim(ctx, r)
 	}
-	o, version, status := r.Ownership, r.version, HandoverClaimed
-	if r.Nonce == h.Nonce {
-		o, version, status = e.write(ctx, r, e.nextOwnership(r, name))
+	if status == claimer.StatusClaimed {
+		e.gain(o, h.Full)
 	}
-	if status != HandoverClaimed {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.gain(o, version, h.full)
-}
-
-func (e *Elector) isPending(r record) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.pending[r.Name].Nonce == r.Nonce
 }
 
 // HandleHandover claims the names that their owner offers.
 func (e *Elector) HandleHandover(ctx context.Context, r HandoverRequest) HandoverResponse {
 	var response HandoverResponse
 	for _, item := range r.Names[:min(len(r.Names), MaxHandover)] {
-		result := HandoverResult{Name: item.Ownership.Name, Status: HandoverRejected}
-		if e.begin(item.Ownership.Name) {
+		result := HandoverResult{Name: item.Ownership.Name, Status: claimer.StatusRejected}
+		if e.held.Begin(item.Ownership.Name) {
 			result = e.accept(ctx, item)
-			e.end(item.Ownership.Name)
+			e.held.End(item.Ownership.Name)
 		}
 		response.Results = append(response.Results, result)
 	}
 	return response
 }
 
-// accept claims one offered name.
+// accept claims one offered name. Its calls of the store cannot wait, since
+// nobody admits work to the name meanwhile.
 func (e *Elector) accept(ctx context.Context, item HandoverItem) HandoverResult {
-	result := HandoverResult{Name: item.Ownership.Name, Status: HandoverRejected}
-	if e.draining() || !e.leased() || ctx.Err() != nil {
+	result := HandoverResult{Name: item.Ownership.Name, Status: claimer.StatusRejected}
+	if e.draining() || !e.Lease.Fresh() || ctx.Err() != nil {
 		return result
 	}
-	before := e.calls.Load()
-	defer func() { e.refund(-int(e.calls.Load() - before)) }()
+	defer e.account(e.records.Calls(), 0)
 	r, err := e.read(ctx, item.Ownership.Name)
 	if err != nil || r.Nonce != item.Ownership.Nonce || r.Owner != item.Ownership.Owner {
 		return result
 	}
-	o, version, status := e.write(ctx, r, e.nextOwnership(r, r.Name))
-	result.Status = status
-	result.Ownership = o
-	if status != HandoverClaimed {
+	result.Ownership, result.Status = e.records.Claim(ctx, r)
+	if result.Status != claimer.StatusClaimed {
 		return result
 	}
 	if e.Receive != nil {
-		e.Receive(o, item.State)
+		e.Receive(result.Ownership, item.State)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.gain(o, version, true)
+	e.gain(result.Ownership, item.Full)
 	return result
 }
 
 // release gives up a name that no router should own.
 func (e *Elector) release(ctx context.Context, name string) {
-	if !e.begin(name) {
-		return
-	}
-	defer e.end(name)
-	e.mu.Lock()
-	h := e.held[name]
-	if h != nil {
-		h.handing = true
-		e.publish()
-	}
-	e.mu.Unlock()
-	if h == nil {
+	h, held := e.held.Stop(name)
+	if !held {
 		return
 	}
 	r, err := e.read(ctx, name)
-	if err != nil || r.Nonce != h.Nonce {
-		return
-	}
-	o := bergamotdale.Ownership{Name: name, Epoch: r.Epoch + 1}
-	e.mu.Lock()
-	o.Nonce = e.nonce()
-	e.mu.Unlock()
-	o, version, status := e.write(ctx, r, o)
-	if status != HandoverClaimed {
+	if err == nil && r.Nonce == h.Nonce && e.records.Release(ctx, r) == claimer.StatusClaimed {
+		e.dropOutdated(name)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.pending, name)
-	e.observe(o, version)
+	e.held.Doubt(name)
 }
--- a/elector/message.go
+++ b/elector/message.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/claimer"
 )
 
 const (
@@ -27,28 +28,20 @@
 // HandoverItem is one name of a handover.
 type HandoverItem struct {
 	Ownership bergamotdale.Ownership `json:"ownership"`
+	// Full is true if the sender had ruled out foreign load. A new owner starts
+	// at the reduced limit otherwise: an earlier owner may still admit.
+	Full bool `json:"full"`
 	// State is what the new owner needs to continue, for example placement
 	// overrides. It may be empty.
 	State json.RawMessage `json:"state,omitempty"`
 }
 
-// HandoverStatus is the result of the handover of one name.
-type HandoverStatus string
-
-const (
-	// HandoverClaimed means that the receiver owns the name now.
-	HandoverClaimed HandoverStatus = "claimed"
-	// HandoverRejected means that the receiver has not claimed the name and
-	// will not claim it because of this message.
-	HandoverRejected HandoverStatus = "rejected"
-	// HandoverUnknown means that a claim may have taken effect.
-	HandoverUnknown HandoverStatus = "unknown"
-)
-
 // HandoverResult is the result of one name.
 type HandoverResult struct {
-	Name   string         `json:"name"`
-	Status HandoverStatus `json:"status"`
+	Name string `json:"name"`
+	// Status is claimed if the receiver owns the name now, rejected if it does
+	// not and will not because of this message, and unknown otherwise.
+	Status claimer.Status `json:"status"`
 	// Ownership is the new record of a claimed name.
 	Ownership bergamotdale.Ownership `json:"ownership"`
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -219,3 +219,16 @@
 func (g *Gossiper) Member(id string) (bergamotdale.Member, bool) {
 	return g.View().Member(id)
 }
+
+// Members returns View().Members().
+func (g *Gossiper) Members() []bergamotdale.Member {
+	return g.View().Members()
+}
+
+// Listed returns the number of routers in the VM list, zero before it was
+// read.
+func (g *Gossiper) Listed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Listed()
+}
--- a/gossiper/machine.go
+++ b/gossiper/machine.go
@@ -149,6 +149,7 @@
 	probes map[uint64]*probe
 	lastID uint64
 	seeds  []bergamotdale.VM
+	listed int
 	// recheck holds members believed dead that another member believes alive.
 	recheck map[string]struct{}
 	// syncing is true while pages of another member's list are read.
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -208,12 +208,22 @@
 // SetSeeds replaces the list of VMs.
 func (m *Machine) SetSeeds(vms []bergamotdale.VM) {
 	m.seeds = m.seeds[:0]
+	m.listed = 0
 	for _, vm := range vms {
-		if vm.Role == RouterRole && vm.Address != m.self.Address {
+		if vm.Role != RouterRole {
+			continue
+		}
+		m.listed++
+		if vm.Address != m.self.Address {
 			m.seeds = append(m.seeds, vm)
 		}
 	}
 }
 
+// Listed returns the number of routers in the list of VMs.
+func (m *Machine) Listed() int {
+	return m.listed
+}
+
 // RouterRole is the role of routers in the VM list.
 const RouterRole = "router"
--- /dev/null
+++ b/planner/budget.go
@@ -0,0 +1,34 @@
+package planner
+
+import "time"
+
+// Budget is a token bucket of store calls. It is not safe for concurrent use.
+type Budget struct {
+	// Burst is the number of calls that a rested router may make at once.
+	Burst float64
+
+	tokens float64
+	filled time.Time
+}
+
+// Take removes n tokens and reports whether it could. The bucket starts full
+// and gains rate tokens a second.
+func (b *Budget) Take(now time.Time, rate float64, n int) bool {
+	if b.filled.IsZero() {
+		b.tokens += b.Burst
+	} else {
+		b.tokens = min(b.Burst, b.tokens+rate*now.Sub(b.filled).Seconds())
+	}
+	b.filled = now
+	if b.tokens < float64(n) {
+		return false
+	}
+	b.tokens -= float64(n)
+	return true
+}
+
+// Correct adds tokens for calls that were not made, or removes them, even
+// below zero, for calls that could not wait.
+func (b *Budget) Correct(tokens float64) {
+	b.tokens += tokens
+}
