--- a/router/control.go
+++ b/router/control.go
@@ -224,7 +224,7 @@
 
 // Expired implements dispatcher.Ownership.
 func (o *ownership) Expired() bool {
-	return elector.Admission(o.router.elector.Contact()) != elector.ModeFull
+	return o.router.elector.Lease.Mode() != elector.ModeFull
 }
 
 // Confirmed implements dispatcher.Ownership.
--- a/router/router.go
+++ b/router/router.go
@@ -156,7 +156,7 @@
 	r.gossiper.Lister = r.vms
 	r.gossiper.Logger = r.Logger.Named("gossiper")
 
-	r.elector = elector.New(r.self, store, r.peer, r.gossiper, r.clock)
+	r.elector = elector.New(r.self, store, r.peer, r.gossiper, r.clock, uint64(r.self.Incarnation))
 	r.elector.Logger = r.Logger.Named("elector")
 	r.elector.State = r.handoverState
 	r.elector.Receive = r.receiveState
--- a/router/store_failure_test.go
+++ b/router/store_failure_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/bergamotdale/bergamotdale/elector"
+	"github.com/bergamotdale/bergamotdale/leaser"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/injector"
 )
@@ -24,8 +24,8 @@
 	// the others', and only after OutageSettle does it know that the store is
 	// down for the whole fleet. Until then another router may have claimed the
 	// shard and executed the key.
-	doubtFrom  = elector.LeaseTTL - elector.RenewInterval - time.Second
-	doubtUntil = elector.LeaseTTL + elector.OutageSettle + time.Second
+	doubtFrom  = leaser.TTL - leaser.RenewInterval - time.Second
+	doubtUntil = leaser.TTL + leaser.OutageSettle + time.Second
 )
 
 // Guards against a store outage that stops chats, and against a call that may
--- a/router/telemetry.go
+++ b/router/telemetry.go
@@ -63,7 +63,7 @@
 		{"bergamotdale.members.live", "routers believed alive", func() int64 { return int64(len(r.gossiper.Live())) }},
 		{"bergamotdale.owned", "endpoints and shards owned by this router", func() int64 { return int64(len(r.elector.Held())) }},
 		{"bergamotdale.load", "requests running or waiting at owned engines", r.ownedLoad},
-		{"bergamotdale.store.calls", "store calls for ownership since the start", r.elector.StoreCalls},
+		{"bergamotdale.store.calls", "store calls for lease and ownership since the start", r.storeCalls},
 		{"bergamotdale.gossip.sent", "bytes of gossip messages sent since the start", func() int64 { return r.gossiper.Stats().BytesSent }},
 		{"bergamotdale.gossip.received", "bytes of gossip messages received since the start", func() int64 { return r.gossiper.Stats().BytesReceived }},
 		{"bergamotdale.replay.bytes", "memory of the replay buffers", r.dispatch.Replayer.Bytes},
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// storeCalls returns the store calls for the lease and for ownership.
+func (r *Router) storeCalls() int64 {
+	ownership, lease := r.elector.StoreCalls()
+	return ownership + lease
+}
+
 // ownedLoad returns the requests that run or wait at the owned engines.
 func (r *Router) ownedLoad() int64 {
 	var load int64
