--- a/differ/differ.go
+++ b/differ/differ.go
@@ -14,7 +14,7 @@
 type Difference struct {
 	// Path is, for example, workspaces[han-river-hotel].weight.
 	Path string `json:"path"`
-	// Before is empty for an added and After for a removed item.
+	// Before is empty for an added and After for a removed item or list.
 	Before string `json:"before,omitempty"`
 	After  string `json:"after,omitempty"`
 }
@@ -50,7 +50,7 @@
 	case t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct:
 		c.compareItems(path, before, after)
 	default:
-		b, a := render(before), render(after)
+		b, a := renderOptional(before), renderOptional(after)
 		if a != b {
 			c.found = append(c.found, Difference{path, b, a})
 		}
@@ -98,6 +98,15 @@
 	return path + "." + key
 }
 
+// renderOptional renders a list that is left out as nothing: it means another
+// thing than an empty list.
+func renderOptional(v reflect.Value) string {
+	if v.Kind() == reflect.Slice && v.IsNil() {
+		return ""
+	}
+	return render(v)
+}
+
 // render returns a value in one line: {key: value, ...} or [item, ...].
 func render(v reflect.Value) string {
 	switch v.Kind() {
--- a/operator/server.go
+++ b/operator/server.go
@@ -33,7 +33,8 @@
 	Members() []bergamotdale.Member
 }
 
-// Reporter describes this router.
+// Reporter describes this router. The members of the status include it, since
+// the timeline is read from the members.
 type Reporter interface {
 	Status(ctx context.Context) (*pb.StatusResponse, error)
 }
