enginegenerator: write heartbeats that published clients accept

openai-go 1.12 takes the empty line after a comment for an event and fails with "unexpected end of JSON input". A heartbeat is now a comment line without an empty line after it, which the format of server-sent events allows. Routers that send heartbeats to clients need the same form.

--- a/enginegenerator/output.go
+++ b/enginegenerator/output.go
@@ -122,8 +122,10 @@
 	return e
 }
 
+// Heartbeat writes a comment without an empty line after it: openai-go 1.12
+// takes an empty line after a comment for an event and fails to parse it.
 func (e *eventStream) Heartbeat() error {
-	e.buf.WriteString(": heartbeat\n\n")
+	e.buf.WriteString(": heartbeat\n")
 	return e.flush()
 }
 
--- a/platformclient/platformclient_test.go
+++ b/platformclient/platformclient_test.go
@@ -114,3 +114,21 @@
 	_, err := c.CompareAndSwap(ctx, "k", nil, 0)
 	assert.NilError(t, err)
 }
+
+// Guards against a watch that returns before its wait has passed although
+// nothing changed, or doesn't return the current entry then.
+func TestWatchWithoutChange(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	c, ctx := start(t, &platformserver.Server{}), context.Background()
+	before := time.Now()
+	_, err := c.Watch(ctx, "k", 0, wait)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrNotFound), "%v", err)
+	assert.Assert(t, time.Since(before) >= wait)
+	e, err := c.CompareAndSwap(ctx, "k", []byte("1"), 0)
+	assert.NilError(t, err)
+	before = time.Now()
+	same, err := c.Watch(ctx, "k", e.Version, wait)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(before) >= wait)
+	assert.DeepEqual(t, same, e)
+}
