--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/bergamotdale/bergamotdale/benchmarker"
+	"github.com/bergamotdale/bergamotdale/workloader"
 )
 
 func main() {
@@ -25,7 +26,7 @@
 	flaggy.Parse()
 
 	rows := benchmarker.Measure(benchmarker.Options{Seed: seed, Scale: scale, Parallel: parallel},
-		benchmarker.Hanbit(), benchmarker.Vrbensky(), benchmarker.Target())
+		workloader.Hanbit(), workloader.Vrbensky(), workloader.Target())
 	err := benchmarker.Print(os.Stdout, seed, rows)
 	if err == nil && directory != "" {
 		err = benchmarker.WriteCSV(directory, seed, rows)
--- a/placer/residents.go
+++ b/estimator/estimator.go
@@ -1,10 +1,16 @@
-package placer
+// Package estimator estimates what an engine has in its prefix cache from the
+// requests that its owner sends to it.
+package estimator
 
 import (
 	"github.com/bergamotdale/bergamotdale/evictor"
 	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
+// EntryBytes bounds the memory of one entry: 24 bytes in the list and up to 40 in
+// a Go map that has just grown.
+const EntryBytes = 64
+
 // Residents estimates which chats an engine still has in its prefix cache. The
 // owner sees every request of its engine and repeats what an LRU cache of the
 // reported size would do. A returning chat that is no longer cached need not
--- a/benchmarker/events.go
+++ b/looper/looper.go
@@ -1,4 +1,5 @@
-package benchmarker
+// Package looper runs functions at simulated times, in a fixed order.
+package looper
 
 import (
 	"container/heap"
@@ -36,33 +37,34 @@
 	return last
 }
 
-// loop is the simulated time and the events ahead.
-type loop struct {
-	now      time.Duration
+// Loop is the simulated time and the events ahead.
+type Loop struct {
+	// Now is the simulated time since the start.
+	Now      time.Duration
 	sequence uint64
 	pending  events
 }
 
-// epoch is the simulated time zero.
-var epoch = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
+// Epoch is the simulated time zero.
+var Epoch = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
 
-// clock returns the simulated time as the decision packages see it.
-func (l *loop) clock() time.Time {
-	return epoch.Add(l.now)
+// Clock returns the simulated time as the decision packages see it.
+func (l *Loop) Clock() time.Time {
+	return Epoch.Add(l.Now)
 }
 
-// after schedules an event.
-func (l *loop) after(d time.Duration, run func()) {
+// After schedules an event.
+func (l *Loop) After(d time.Duration, run func()) {
 	l.sequence++
-	heap.Push(&l.pending, event{at: l.now + max(d, 0), sequence: l.sequence, run: run})
+	heap.Push(&l.pending, event{at: l.Now + max(d, 0), sequence: l.sequence, run: run})
 }
 
-// run handles all events up to the end.
-func (l *loop) run(end time.Duration) {
+// Run handles all events up to the end.
+func (l *Loop) Run(end time.Duration) {
 	for len(l.pending) > 0 && l.pending[0].at <= end {
 		e := heap.Pop(&l.pending).(event)
-		l.now = e.at
+		l.Now = e.at
 		e.run()
 	}
-	l.now = end
+	l.Now = end
 }
--- a/placer/overrides.go
+++ b/placer/overrides.go
@@ -5,8 +5,8 @@
 	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
-// EntryBytes bounds the memory of one entry of Overrides or Residents: 24 bytes
-// in the list and up to 40 in a Go map that has just grown.
+// EntryBytes bounds the memory of one override: 24 bytes in the list and up to 40
+// in a Go map that has just grown.
 const EntryBytes = 64
 
 // Overrides is a bounded map from chats to the endpoint that served them last,
--- a/benchmarker/shape.go
+++ b/workloader/shape.go
@@ -1,10 +1,7 @@
-// Package benchmarker measures the decisions under load: a seeded
-// discrete-event simulation drives the placer, the scheduler and the limiter
-// against a small model of engines, and compares them with baselines.
-//
-// The four measures are those of the design page. The same seed gives the same
-// output.
-package benchmarker
+// Package workloader generates a seeded workload: chats of skewed workspaces in
+// three priority classes that return after pauses, floods and heavy workspaces,
+// for deployments of the sizes on the design page.
+package workloader
 
 import (
 	"time"
@@ -14,13 +11,15 @@
 
 // The priority classes of the workload.
 const (
-	urgent = iota
-	standard
-	batch
-	classCount
+	Urgent = iota
+	Standard
+	Batch
+	// ClassCount is the number of classes.
+	ClassCount
 )
 
-var classNames = [classCount]string{"urgent", "standard", "batch"}
+// ClassNames are the names of the priority classes.
+var ClassNames = [ClassCount]string{"urgent", "standard", "batch"}
 
 // Shape describes a deployment and its engines.
 type Shape struct {
@@ -81,35 +80,36 @@
 	return s
 }
 
-// classes is the configuration of the priority classes.
-func classes() []scheduler.Class {
+// Classes is the configuration of the priority classes.
+func Classes() []scheduler.Class {
 	return []scheduler.Class{
-		{Name: classNames[urgent], MinShare: 0.2, MaxWait: 5 * time.Second, MaxQueued: 64, Preempts: true},
-		{Name: classNames[standard], MinShare: 0.3, MaxWait: 20 * time.Second, MaxQueued: 64},
-		{Name: classNames[batch], MinShare: 0.1, MaxWait: 2 * time.Minute, MaxQueued: 64},
+		{Name: ClassNames[Urgent], MinShare: 0.2, MaxWait: 5 * time.Second, MaxQueued: 64, Preempts: true},
+		{Name: ClassNames[Standard], MinShare: 0.3, MaxWait: 20 * time.Second, MaxQueued: 64},
+		{Name: ClassNames[Batch], MinShare: 0.1, MaxWait: 2 * time.Minute, MaxQueued: 64},
 	}
 }
 
-// headroom is the fraction of the slots that is left to urgent requests: 3 of
+// Headroom is the fraction of the slots that is left to urgent requests: 3 of
 // 16. With 2 the goal of M2 is met by some seeds only.
-const headroom = 0.19
+const Headroom = 0.19
 
-// work is the size of the requests of a class, as means of exponential
+// Work is the size of the requests of a class, as means of exponential
 // distributions with a floor.
-type work struct {
-	// context is the part of the first prompt that later turns reuse.
-	context, input, output int
+type Work struct {
+	// Context is the part of the first prompt that later turns reuse.
+	Context, Input, Output int
 }
 
-var works = [classCount]work{
-	urgent:   {context: 800, input: 150, output: 60},
-	standard: {context: 1200, input: 300, output: 200},
-	batch:    {context: 1500, input: 1000, output: 600},
+// Works are the sizes of the requests of each class.
+var Works = [ClassCount]Work{
+	Urgent:   {Context: 800, Input: 150, Output: 60},
+	Standard: {Context: 1200, Input: 300, Output: 200},
+	Batch:    {Context: 1500, Input: 1000, Output: 600},
 }
 
-// groupRouters is the number of routers that a model group keeps busy: all of
+// GroupRouters is the number of routers that a model group keeps busy: all of
 // them today, and 1 of the 33 groups' part of 360 at the target.
-func (s Shape) groupRouters() int {
+func (s Shape) GroupRouters() int {
 	if s.Routers > s.Engines {
 		return s.Routers / targetGroups
 	}
@@ -119,28 +119,42 @@
 // targetGroups is the number of models in steady use at the target.
 const targetGroups = 33
 
-// slotTime is the mean time that a request of the class holds a slot.
-func (s Shape) slotTime(class int) float64 {
-	w := works[class]
-	return float64(w.input)/s.PrefillRate + float64(w.output)*s.TokenTime.Seconds()*(1+s.Slowdown/2)
+// SlotTime is the mean time that a request of the class holds a slot.
+func (s Shape) SlotTime(class int) float64 {
+	w := Works[class]
+	return float64(w.Input)/s.PrefillRate + float64(w.Output)*s.TokenTime.Seconds()*(1+s.Slowdown/2)
 }
 
-// capacity is the number of slots of the model group.
-func (s Shape) capacity() float64 {
+// Capacity is the number of slots of the model group.
+func (s Shape) Capacity() float64 {
 	return float64(s.Engines * s.Slots)
 }
 
 const (
-	// reportBytes is the size of a load report and its response with headers;
+	// ReportBytes is the size of a load report and its response with headers;
 	// the design page counts 11 KB/s for 23 engines that report every second.
-	reportBytes = 478
+	ReportBytes = 478
 	// aggregatorBytes is the traffic per second that the aggregator of a group
 	// may cause; the rest of the 15 KB/s is for membership.
 	aggregatorBytes = 11_500
 )
 
-// reportInterval is the shortest interval that the traffic allows. The mean of
+// ReportInterval is the shortest interval that the traffic allows. The mean of
 // a small group changes faster, and its aggregator can afford more reports.
-func (s Shape) reportInterval() time.Duration {
-	return time.Duration(s.Engines) * reportBytes * time.Second / aggregatorBytes
+func (s Shape) ReportInterval() time.Duration {
+	return time.Duration(s.Engines) * ReportBytes * time.Second / aggregatorBytes
+}
+
+// TokenRate is the demand in charged tokens per second that the parts of the
+// classes cause at the given load.
+func (s Shape) TokenRate(parts [ClassCount]float64, load float64) float64 {
+	sum, rate := 0.0, 0.0
+	for class, part := range parts {
+		sum += part
+		w := Works[class]
+		// Half of a chat's history is there on average.
+		prompt := float64(w.Context+w.Input) + (s.Turns-1)/2*float64(w.Input+w.Output)
+		rate += part * s.Capacity() / s.SlotTime(class) * (scheduler.DefaultInputWeight*prompt + float64(w.Output))
+	}
+	return load * rate / sum
 }
