--- a/router/store_failure_test.go
+++ b/router/store_failure_test.go
@@ -9,9 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/bergamotdale/bergamotdale/leaser"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/injector"
+	"github.com/bergamotdale/bergamotdale/leaser"
 )
 
 const (
