dispatcher: a slot is freed when the engine is known not to run the request

(1) A router that was paused, lost an engine and got it back started a new admission that knew nothing of the requests it still ran there. (2) A slot was given away as soon as a stream broke, was preempted or lost its client, while the engine still ran the request. Ruled out: waiting for a load report after each broken stream; reports lag. Change: one counter per engine for all admissions of a router; slots are freed after a confirmed cancellation, a crash or a minute; the client's response does not wait for that. A resumed stream cancels its predecessor first.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +12,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/limiter"
 	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
 	"github.com/bergamotdale/bergamotdale/streamer"
 )
@@ -38,8 +41,14 @@
 	limit      *limiter.Concurrency
 	ownership  *limiter.Ownership
 	overrides  *placer.Overrides
-	// jobs holds every queued and running request by its stream ID.
+	// jobs holds every queued and running request by its item, and current the
+	// latest one of each stream ID.
 	jobs     map[string]*job
+	current  map[string]*job
+	sequence int
+	// atEngine counts the requests that this router runs at the engine, those
+	// of earlier admissions included.
+	atEngine *atomic.Int64
 	released bool
 	crash    crashWatch
 }
@@ -60,6 +69,8 @@
 		ownership: limiter.NewOwnership(d.Clock.Now()),
 		overrides: placer.NewOverrides(overrideBytes),
 		jobs:      map[string]*job{},
+		current:   map[string]*job{},
+		atEngine:  d.counter(assignment.Name),
 	}
 	a.update(policy, assignment)
 	go a.run(ctx)
@@ -109,7 +120,7 @@
 		a.refuse(refused)
 	}
 	a.ownership.SetExpired(a.dispatcher.Ownership.Expired())
-	a.queue.SetLimit(now, a.ownership.Limit(a.limit.Limit()))
+	a.queue.SetLimit(now, max(0, a.ownership.Limit(a.limit.Limit())-a.earlier()))
 	decision := a.queue.Next(now)
 	for _, item := range decision.Preempt {
 		a.preempt(item)
@@ -117,7 +128,13 @@
 	for _, item := range decision.Start {
 		a.start(now, item)
 	}
-	a.ownership.Count(now, a.queue.Running())
+	a.ownership.Count(now, a.queue.Running()+a.earlier())
+}
+
+// earlier returns the requests that this router still runs at the engine from
+// the time of an earlier ownership.
+func (a *admission) earlier() int {
+	return int(a.atEngine.Load()) - a.queue.Running()
 }
 
 // admit queues a completion, or refuses it at once.
@@ -136,13 +153,11 @@
 		return bergamotdale.Refuse(bergamotdale.CodeInProgress, "the request is running").
 			WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
 	}
-	j := &job{completion: c, buffer: buffer, id: c.StreamID()}
-	a.jobs[j.id] = j
-	a.dispatcher.jobs.Add(1)
+	j := a.newJob(c, buffer)
 	now := a.dispatcher.Clock.Now()
-	for _, refused := range a.queue.Push(now, a.item(c)) {
+	for _, refused := range a.queue.Push(now, a.item(j)) {
 		a.refuse(refused)
-		if refused.Item.ID == j.id {
+		if refused.Item.ID == j.item {
 			return refusal(refused)
 		}
 	}
@@ -152,6 +167,16 @@
 	return nil
 }
 
+// newJob registers a job. The caller holds mu.
+func (a *admission) newJob(c bergamotdale.Completion, buffer *replayer.Buffer) *job {
+	a.sequence++
+	j := &job{completion: c, buffer: buffer, id: c.StreamID(), item: fmt.Sprintf("%s#%d", c.StreamID(), a.sequence)}
+	a.jobs[j.item] = j
+	a.current[j.id] = j
+	a.dispatcher.jobs.Add(1)
+	return j
+}
+
 // check refuses a completion that must not be queued here.
 func (a *admission) check(c bergamotdale.Completion) error {
 	switch {
@@ -189,13 +214,14 @@
 }
 
 // item returns what the scheduler needs to know of a completion.
-func (a *admission) item(c bergamotdale.Completion) scheduler.Item {
+func (a *admission) item(j *job) scheduler.Item {
+	c := j.completion
 	class, ok := a.policy.ClassIndex[c.PriorityClass]
 	if !ok {
 		class = len(a.policy.Classes) - 1
 	}
 	return scheduler.Item{
-		ID:           c.StreamID(),
+		ID:           j.item,
 		Workspace:    c.Workspace,
 		Weight:       a.policy.Weight(c.Workspace),
 		Class:        class,
@@ -225,20 +251,26 @@
 	return r
 }
 
-// finish writes the last frame of a request and forgets it.
+// finish writes the last frame of a request without a slot and forgets it.
 func (a *admission) finish(j *job, last bergamotdale.Frame) {
+	a.closeBuffer(j, last)
+	a.forget(j)
+}
+
+// closeBuffer writes the last frame of a request.
+func (a *admission) closeBuffer(j *job, last bergamotdale.Frame) {
+	j.closed = true
 	if err := j.buffer.Append(last); err != nil {
 		j.buffer.Cut(err)
 	}
-	a.forget(j)
 }
 
-// forget removes a request whose buffer has ended.
+// forget removes a request whose buffer has ended and which has no slot.
 func (a *admission) forget(j *job) {
-	if a.jobs[j.id] != j {
-		return
+	delete(a.jobs, j.item)
+	if a.current[j.id] == j {
+		delete(a.current, j.id)
 	}
-	delete(a.jobs, j.id)
 	a.dispatcher.jobs.Done()
 	a.dispatcher.Loads.Changed()
 	a.signal()
@@ -248,13 +280,17 @@
 func (a *admission) cancel(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	j := a.jobs[id]
-	if j == nil {
+	j := a.current[id]
+	if j == nil || j.closed {
 		return
 	}
-	if a.queue.Cancel(a.dispatcher.Clock.Now(), id) && j.stop != nil {
+	if j.running {
+		j.abandoned = true
 		j.stop()
+		return
 	}
+	a.queue.Cancel(a.dispatcher.Clock.Now(), j.item)
+	j.closed = true
 	j.buffer.Cut(context.Canceled)
 	a.forget(j)
 }
@@ -266,12 +302,12 @@
 	defer a.mu.Unlock()
 	a.released = true
 	now := a.dispatcher.Clock.Now()
-	for id, j := range a.jobs {
+	for item, j := range a.jobs {
 		if j.running {
 			continue
 		}
-		a.queue.Cancel(now, id)
-		a.finish(j, streamer.RefusalFrame(id, j.buffer.Position().Offset,
+		a.queue.Cancel(now, item)
+		a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset,
 			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
 	}
 	a.stop()
@@ -308,7 +344,7 @@
 		Queued:  load.Queued,
 		Slots:   load.Slots,
 	}
-	a.limit.Report(now, report, a.queue.Running())
+	a.limit.Report(now, report, int(a.atEngine.Load()))
 	claimed := a.ownership.Standing() == limiter.StandingClaimed
 	a.ownership.Report(report)
 	if claimed && a.ownership.Standing() == limiter.StandingConfirmed {
@@ -334,7 +370,7 @@
 func (a *admission) handover() Handover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h := Handover{Overrides: make(map[uint64]string, a.overrides.Len()), Running: a.queue.Running()}
+	h := Handover{Overrides: make(map[uint64]string, a.overrides.Len()), Running: int(a.atEngine.Load())}
 	a.overrides.Each(func(key uint64, endpoint string) bool {
 		h.Overrides[key] = endpoint
 		return true
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -107,6 +108,8 @@
 	jobs sync.WaitGroup
 	// readers counts the open streams of each running request.
 	readers map[string]*audience
+	// atEngine counts the requests that this router runs at each engine.
+	atEngine map[string]*atomic.Int64
 	// received holds handovers of engines that are not assigned yet.
 	received map[string]Handover
 	ctx      context.Context
@@ -119,6 +122,7 @@
 	d.admissions = map[string]*admission{}
 	d.readers = map[string]*audience{}
 	d.received = map[string]Handover{}
+	d.atEngine = map[string]*atomic.Int64{}
 	d.mu.Unlock()
 	for bergamotdale.Wait(ctx, d.Clock, replayer.Retention/4) == nil {
 		d.Replayer.Sweep()
@@ -158,6 +162,16 @@
 	}
 }
 
+// counter returns the counter of an engine. The caller holds mu.
+func (d *Dispatcher) counter(endpoint string) *atomic.Int64 {
+	c := d.atEngine[endpoint]
+	if c == nil {
+		c = &atomic.Int64{}
+		d.atEngine[endpoint] = c
+	}
+	return c
+}
+
 // Dispatch queues the completion at its endpoint and returns its stream. A
 // request that is already running or has just ended here is attached to, not
 // run again.
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -22,17 +22,28 @@
 	// progressLimit is the longest time without a token at an engine. It has to
 	// cover the prefill of a long prompt behind other prefills.
 	progressLimit = 60 * time.Second
-	// cancelTimeout bounds the call that cancels a request at its engine.
-	cancelTimeout = time.Second
+	// cancelTimeout bounds the call that cancels a request at its engine. An
+	// unconfirmed cancellation is repeated every cancelRetry, cancelAttempts
+	// times: a minute, after which load reports show what the engine runs.
+	cancelTimeout  = time.Second
+	cancelRetry    = 500 * time.Millisecond
+	cancelAttempts = 40
 )
 
 // job is one queued or running request. The admission's lock guards it.
 type job struct {
+	// id is the stream ID. item names the job in the scheduler: the slot of an
+	// earlier job of the same stream may not be free yet.
 	id         string
+	item       string
 	completion bergamotdale.Completion
 	buffer     *replayer.Buffer
 	running    bool
 	preempted  bool
+	// closed is true once the final frame was written.
+	closed bool
+	// abandoned is true once nobody waits for the response.
+	abandoned bool
 	// started is when the job last got a slot.
 	started time.Time
 	// stop ends the stream to the engine; nil while the job waits.
@@ -61,13 +72,14 @@
 		return
 	}
 	if !a.dispatcher.Quarantine.MayRun(j.completion.Fingerprint, a.runningFingerprints()) {
-		a.queue.Preempted(now, j.id, j.buffer.Position().Offset)
+		a.queue.Preempted(now, j.item, j.buffer.Position().Offset)
 		return
 	}
 	ctx, cancel := context.WithCancel(a.dispatcher.ctx)
 	j.stop = cancel
 	j.running = true
 	j.started = now
+	a.atEngine.Add(1)
 	a.record(j, "request-started", fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
 	go a.execute(ctx, j, item.Class, a.assignment.Address)
 }
@@ -105,7 +117,11 @@
 		Clock:     a.dispatcher.Clock,
 		Unsealed:  true,
 		Limits:    streamer.Limits{Silence: streamer.SilenceLimit, Progress: progressLimit},
-		Open: func(ctx context.Context, p streamer.Position, _ int) (bergamotdale.FrameStream, error) {
+		Open: func(ctx context.Context, p streamer.Position, attempt int) (bergamotdale.FrameStream, error) {
+			if attempt > 0 {
+				// The engine may not have noticed that the connection is gone.
+				_ = a.cancelAtEngine(j.id, address)
+			}
 			return a.dispatcher.Engine.Complete(ctx, address, bergamotdale.EngineRequest{
 				RequestID:  j.id,
 				Body:       j.completion.Body,
@@ -160,7 +176,7 @@
 func (a *admission) progress(j *job, now time.Time, f bergamotdale.Frame, elapsed time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.queue.Progress(j.id, f.Offset+len(f.Tokens))
+	a.queue.Progress(j.item, f.Offset+len(f.Tokens))
 	// The first frame of a stream includes prefill and says nothing about the
 	// time between tokens.
 	if len(f.Tokens) > 0 && f.Offset > j.completion.ResumeFrom {
@@ -171,52 +187,100 @@
 // end applies the final frame of a stream: the request is complete, goes back
 // to the queue after a preemption, or is refused.
 func (a *admission) end(ctx context.Context, j *job, address string, last bergamotdale.Frame) {
+	crashed := false
 	if last.Kind == bergamotdale.FrameRefusal && ctx.Err() == nil && last.Refusal.Code != bergamotdale.CodeEndpointRefused {
-		if a.inspectFailure(j, address) {
+		if crashed = a.inspectFailure(j, address); crashed {
 			last = streamer.RefusalFrame(j.id, j.buffer.Position().Offset, endpointCrashed())
 		}
 	}
+	if last.Kind == bergamotdale.FrameEnd || crashed || last.Refusal.Code == bergamotdale.CodeEndpointRefused {
+		a.finishRun(j, last)
+		return
+	}
+	if !a.isPreempted(j) {
+		// The client gets its response at once; the slot is freed when the
+		// engine is known not to run the request any more.
+		a.respond(j, last)
+	}
+	a.awaitCancelled(j.id, address)
+	a.finishRun(j, last)
+}
+
+func (a *admission) isPreempted(j *job) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return j.preempted && !j.abandoned
+}
+
+// respond writes the final frame of a job that still holds its slot.
+func (a *admission) respond(j *job, last bergamotdale.Frame) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordEnd(j, last)
+	a.closeBuffer(j, last)
+}
+
+// finishRun frees the slot of a job. A preempted one goes back to the queue.
+func (a *admission) finishRun(j *job, last bergamotdale.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.dispatcher.Clock.Now()
-	if j.preempted && last.Kind != bergamotdale.FrameEnd {
-		a.requeue(now, j, address)
+	a.atEngine.Add(-1)
+	if j.preempted && !j.abandoned && last.Kind != bergamotdale.FrameEnd {
+		a.requeue(now, j)
 		return
 	}
-	a.queue.Done(now, j.id)
-	if a.jobs[j.id] != j {
-		go a.cancelAtEngine(j.id, address)
-		return
+	a.queue.Done(now, j.item)
+	if !j.closed {
+		a.recordEnd(j, last)
+		a.closeBuffer(j, last)
 	}
+	a.forget(j)
+}
+
+// recordEnd adds the end of a run to the timeline.
+func (a *admission) recordEnd(j *job, last bergamotdale.Frame) {
 	kind := "request-failed"
 	if last.Kind == bergamotdale.FrameEnd {
 		kind = "request-completed"
 		a.dispatcher.Quarantine.Completed(j.completion.Fingerprint)
 	}
 	a.record(j, kind, fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
-	a.finish(j, last)
 }
 
 // requeue returns a preempted request to the queue. After a release it is sent
 // to the new owner instead.
-func (a *admission) requeue(now time.Time, j *job, address string) {
-	go a.cancelAtEngine(j.id, address)
+func (a *admission) requeue(now time.Time, j *job) {
 	j.preempted, j.running, j.stop = false, false, nil
 	if a.released {
-		a.queue.Done(now, j.id)
+		a.queue.Done(now, j.item)
 		a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset,
 			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
 		return
 	}
-	a.queue.Preempted(now, j.id, j.buffer.Position().Offset)
+	a.queue.Preempted(now, j.item, j.buffer.Position().Offset)
 	a.signal()
 }
 
-// cancelAtEngine frees the slot of a request that nobody waits for.
-func (a *admission) cancelAtEngine(id, address string) {
-	ctx, cancel := context.WithTimeout(a.dispatcher.ctx, cancelTimeout)
-	defer cancel()
-	if err := a.dispatcher.Engine.Cancel(ctx, address, id); err != nil {
+// awaitCancelled cancels the request at the engine until the engine has
+// confirmed it or has crashed. An engine that does not respond keeps the slot:
+// it may still run the request when it responds again.
+func (a *admission) awaitCancelled(id, address string) {
+	for range cancelAttempts {
+		err := a.cancelAtEngine(id, address)
+		if err == nil || connectionRefused(err) {
+			return
+		}
 		a.dispatcher.Logger.Debug("cancel failed", zap.String("stream-id", id), zap.Error(err))
+		if bergamotdale.Wait(a.dispatcher.ctx, a.dispatcher.Clock, cancelRetry) != nil {
+			return
+		}
 	}
 }
+
+// cancelAtEngine sends one cancellation.
+func (a *admission) cancelAtEngine(id, address string) error {
+	ctx, cancel := context.WithTimeout(a.dispatcher.ctx, cancelTimeout)
+	defer cancel()
+	return a.dispatcher.Engine.Cancel(ctx, address, id)
+}
