scheduler: no preemption for floods or above a lowered limit

Cause: review: each waiting urgent item asked for a slot, also those of a workspace that floods the class and has no precedence, and also while a lowered limit kept the freed slot from being used. Ruled out: counting only the first item of each workspace; two urgent items of one small workspace then wait for each other. Change: preemptions are counted against waiting items of workspaces within their fair part and against the slots that become usable.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -242,6 +242,30 @@
 	assert.Equal(t, len(q.Next(start).Preempt), 6)
 }
 
+// Guards against preemptions without use: for more items than wait, for a flood
+// of one workspace, or while the limit is below what runs.
+func TestNoUselessPreemption(t *testing.T) {
+	t.Parallel()
+	q := newQueue(10)
+	for n := range 10 {
+		q.Push(start, scheduler.Item{ID: fmt.Sprint(n), Workspace: "w", Class: 2, OutputTokens: 100})
+	}
+	assert.Equal(t, len(q.Next(start).Start), 10)
+	q.SetLimit(start, 5)
+	q.Push(start, scheduler.Item{ID: "small", Workspace: "small", OutputTokens: 1})
+	assert.Equal(t, len(q.Next(start).Preempt), 0)
+	q.SetLimit(start, 14)
+	for n := range 8 {
+		q.Push(start, scheduler.Item{ID: fmt.Sprint("flood-", n), Workspace: "flood", OutputTokens: 1000})
+	}
+	assert.Equal(t, len(q.Next(start).Start), 4)
+	q.Push(start, scheduler.Item{ID: "small-2", Workspace: "small", OutputTokens: 1})
+	d := q.Next(start)
+	assert.Equal(t, len(d.Preempt), 1)
+	assert.Assert(t, q.Preempted(start, d.Preempt[0].ID, 0))
+	assert.Equal(t, q.Next(start).Start[0].ID, "small-2")
+}
+
 // Guards against a refusal that is held back, without a time to retry, or of an
 // item that has started; and against a flooding workspace that displaces others.
 func TestRefusals(t *testing.T) {
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -87,25 +87,33 @@
 // head returns the entry whose turn it is in a class, and whether its workspace
 // has used more than its fair part of the endpoint.
 func (q *Queue) head(class int) (*entry, bool) {
-	t, exceeds := q.classes[class].fair.Head(func(name string) bool { return q.ledger.Exceeds(name, class) })
+	t, exceeds := q.classes[class].fair.Head(q.exceeds(class))
 	if t == nil {
 		return nil, false
 	}
 	return t.Value, exceeds
 }
 
-// preempt marks running items that make room for waiting urgent ones.
+// exceeds returns the check of the ledger for a class.
+func (q *Queue) exceeds(class int) func(name string) bool {
+	return func(name string) bool { return q.ledger.Exceeds(name, class) }
+}
+
+// preempt marks running items that make room for waiting urgent ones. Items of a
+// workspace beyond its fair part of the endpoint wait instead.
 func (q *Queue) preempt() []Item {
 	var marked []Item
-	spare := q.leaving
+	spare := q.limit - q.running + q.leaving
+	if spare < 0 {
+		// The limit was lowered; a freed slot could not be used.
+		return nil
+	}
 	for i, c := range q.classes {
-		if !c.config.Preempts || c.fair.Waiting() == 0 {
-			continue
-		}
-		if _, exceeds := q.head(i); exceeds {
+		if !c.config.Preempts {
 			continue
 		}
-		for wanted := c.fair.Waiting() - spare; wanted > 0; wanted-- {
+		urgent := c.fair.WaitingWithin(q.exceeds(i))
+		for wanted := urgent - spare; wanted > 0; wanted-- {
 			e := q.victim(i)
 			if e == nil {
 				return marked
@@ -115,7 +123,7 @@
 			q.classes[e.item.Class].leaving++
 			marked = append(marked, e.item)
 		}
-		spare = max(spare-c.fair.Waiting(), 0)
+		spare = max(spare-urgent, 0)
 	}
 	return marked
 }
--- a/sharer/fair.go
+++ b/sharer/fair.go
@@ -107,6 +107,18 @@
 	return head.queue[0], over
 }
 
+// WaitingWithin returns the number of waiting items of the workspaces that do
+// not exceed.
+func (f *Fair[T]) WaitingWithin(exceeds func(name string) bool) int {
+	n := 0
+	for _, w := range f.backlog {
+		if !exceeds(w.name) {
+			n += len(w.queue)
+		}
+	}
+	return n
+}
+
 // before orders workspaces by service received, then by arrival.
 func (w *workspace[T]) before(o *workspace[T]) bool {
 	if w.finish != o.finish {
