router, gossiper: probes carry the configuration revision

Ruled out: a shorter long poll; 360 routers would multiply the store's reads. Change: probes carry the sender's revision and wake the follower; a warning for a drain deadline that a configuration makes too short; nothing is started at an engine that is being handed over.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -120,7 +120,7 @@
 		a.refuse(refused)
 	}
 	a.ownership.SetExpired(a.dispatcher.Ownership.Expired())
-	a.queue.SetLimit(now, max(0, a.ownership.Limit(a.limit.Limit())-a.earlier()))
+	a.queue.SetLimit(now, a.slots())
 	decision := a.queue.Next(now)
 	for _, item := range decision.Preempt {
 		a.preempt(item)
@@ -131,6 +131,15 @@
 	a.ownership.Count(now, a.queue.Running()+a.earlier())
 }
 
+// slots returns how many requests may run now. While the engine is handed over
+// none is started: the next owner was told how many run.
+func (a *admission) slots() int {
+	if a.released || !a.dispatcher.Ownership.Admits(a.assignment.Name) {
+		return 0
+	}
+	return max(0, a.ownership.Limit(a.limit.Limit())-a.earlier())
+}
+
 // earlier returns the requests that this router still runs at the engine from
 // the time of an earlier ownership.
 func (a *admission) earlier() int {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -28,6 +28,10 @@
 	Lister bergamotdale.VMLister
 	Clock  bergamotdale.Clock
 	Logger *zap.Logger
+	// Revision returns the configuration revision in force, which probes carry.
+	// Seen is called with that of another router. Both may be nil.
+	Revision func() int64
+	Seen     func(revision int64)
 
 	mu sync.Mutex
 	// machine is guarded by mu.
@@ -111,9 +115,26 @@
 func (g *Gossiper) HandlePing(r PingRequest) PingResponse {
 	var response PingResponse
 	g.change(func(m *Machine, now time.Time) { response = m.HandlePing(now, r) })
+	g.see(r.Revision)
+	response.Revision = g.revision()
 	return response
 }
 
+// revision returns the configuration revision of this router.
+func (g *Gossiper) revision() int64 {
+	if g.Revision == nil {
+		return 0
+	}
+	return g.Revision()
+}
+
+// see passes on the configuration revision of another router.
+func (g *Gossiper) see(revision int64) {
+	if g.Seen != nil && revision > 0 {
+		g.Seen(revision)
+	}
+}
+
 // HandleIndirect probes the target of the request and reports the result.
 func (g *Gossiper) HandleIndirect(ctx context.Context, r IndirectRequest) IndirectResponse {
 	var send Send
@@ -183,7 +204,9 @@
 	result := Result{Send: s}
 	switch s.Kind {
 	case SendPing:
+		s.Ping.Revision = g.revision()
 		result.Err = g.Peer.Call(ctx, s.Address, PingPath, s.Ping, &result.Ping)
+		g.see(result.Ping.Revision)
 	case SendIndirect:
 		result.Err = g.Peer.Call(ctx, s.Address, IndirectPath, s.Indirect, &result.Indirect)
 	}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -69,6 +69,8 @@
 // PingRequest is a probe with piggybacked updates.
 type PingRequest struct {
 	From MemberUpdate `json:"from"`
+	// Revision is the configuration revision that the sender has in force.
+	Revision int64 `json:"revision,omitempty"`
 	// StoreAgeMS is the time since the latest contact with the store that the
 	// sender knows of, its own or another router's; -1 without any.
 	StoreAgeMS int64          `json:"store-age-ms"`
@@ -82,7 +84,9 @@
 // PingResponse acknowledges a probe. Members, Rumours and the page share the
 // limit of MaxPiggyback.
 type PingResponse struct {
-	From       MemberUpdate   `json:"from"`
+	From MemberUpdate `json:"from"`
+	// Revision is the configuration revision that the sender has in force.
+	Revision   int64          `json:"revision,omitempty"`
 	StoreAgeMS int64          `json:"store-age-ms"`
 	Members    []MemberUpdate `json:"members,omitempty"`
 	Rumours    []Rumour       `json:"rumours,omitempty"`
--- a/router/control.go
+++ b/router/control.go
@@ -69,6 +69,7 @@
 		return
 	}
 	r.suspects.configure(v.config.Limits())
+	r.checkDrain(v.config)
 	if !r.joined() {
 		return
 	}
@@ -81,6 +82,18 @@
 	}
 }
 
+// checkDrain warns once per revision where accepted streams could outlive a
+// planned stop of this router.
+func (r *Router) checkDrain(c *validator.Config) {
+	if c.Revision() == r.drainChecked {
+		return
+	}
+	r.drainChecked = c.Revision()
+	if err := r.Settings.CheckDrain(c.Limits().MaxStreamDuration); err != nil {
+		r.Logger.Warn("drain deadline too short", zap.Int64("revision", c.Revision()), zap.Error(err))
+	}
+}
+
 // settled reports whether this router has found out who owns what it should
 // own. Until then it is not ready, so that the balancer sends it no request
 // that would be refused for want of an owner.
--- a/router/router.go
+++ b/router/router.go
@@ -69,6 +69,9 @@
 
 	view    atomic.Pointer[view]
 	started time.Time
+	// drainChecked is the last revision that checkDrain has seen; used by
+	// control only.
+	drainChecked int64
 	// serving is set once the router knows enough to serve.
 	serving atomic.Bool
 	// stopping is set once a planned stop has begun.
@@ -165,6 +168,10 @@
 		Router: r.self.ID, Store: store, Peer: r.peer, Clock: r.clock, Recorder: r.recorder,
 		Logger: r.Logger.Named("follower"), Peers: r.peerAddresses,
 	}
+	// A long poll on a connection that went silent is noticed late; probes tell
+	// of a new revision within seconds.
+	r.gossiper.Revision = func() int64 { return r.follower.Status().Revision }
+	r.gossiper.Seen = r.follower.Hint
 	r.loads = aggregator.New(r.self.ID, r.peer, r.gossiper, r.clock)
 	r.loads.Logger = r.Logger.Named("aggregator")
 	r.loads.Groups = r.loadGroups
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -133,3 +133,14 @@
 	}
 	return sum
 }
+
+// replaceValue replaces the value of a key in a YAML document.
+func replaceValue(yaml, key, value string) string {
+	lines := strings.Split(yaml, "\n")
+	for i, line := range lines {
+		if at := strings.Index(line, key); at >= 0 {
+			lines[i] = line[:at] + key + " " + value
+		}
+	}
+	return strings.Join(lines, "\n")
+}
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/generator"
@@ -53,6 +55,24 @@
 	}
 }
 
+// enginePoll is the time between two looks at the load of the engines.
+const enginePoll = 20 * time.Millisecond
+
+// watchEngines logs when an engine goes over its limit, so that the failure in
+// force at that time can be found.
+func (s *Soaker) watchEngines(ctx context.Context, running func() bool) {
+	var highest [engines]int
+	for running() && bergamotdale.Wait(ctx, s.clock, enginePoll) == nil {
+		for i := range engines {
+			e := s.fleet.EngineAt(i)
+			if n := e.MaxInFlight(); n > max(highest[i], fleettester.MaxConcurrency) {
+				highest[i] = n
+				s.Logger.Warn("engine over its limit", zap.String("endpoint", e.Name), zap.Int("requests", n))
+			}
+		}
+	}
+}
+
 // revisionPoll is the time between two looks at a router's revision.
 const revisionPoll = 200 * time.Millisecond
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -116,6 +116,7 @@
 	}
 	wait.Go(func() { s.operators(ctx, s.random("operators"), running) })
 	wait.Go(func() { s.watchRevisions(ctx, running) })
+	wait.Go(func() { s.watchEngines(ctx, running) })
 	s.failures(ctx, s.random("failures"), running)
 	wait.Wait()
 }
