router: the view is computed only when its inputs change

Cause: control computed all owners and placement groups twice a second. Change: the old view is kept while configuration, members and draining marks are the same. Figures: not measured yet; at the target about 280,000 hashes per computation. Conclusion: the cost falls to one computation per change.

--- a/router/control.go
+++ b/router/control.go
@@ -62,7 +62,7 @@
 
 // refresh publishes a new view and applies it.
 func (r *Router) refresh() {
-	v := r.newView(r.clock.Now())
+	v := r.newView(r.clock.Now(), r.view.Load())
 	r.view.Store(v)
 	r.suspects.merge(v.members, r.clock.Now())
 	if v.config == nil {
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"time"
 
 	"github.com/samber/lo"
@@ -35,14 +36,19 @@
 	return r.view.Load()
 }
 
-// newView computes the view of the present membership and configuration.
-func (r *Router) newView(now time.Time) *view {
+// newView computes the view of the present membership and configuration. It
+// returns the old view if nothing has changed: at the target size the owners
+// of all names take about 280,000 hashes.
+func (r *Router) newView(now time.Time, old *view) *view {
 	v := &view{
 		config:   r.follower.Current(),
 		members:  r.gossiper.View(),
 		groups:   map[string]*placer.Group{},
 		draining: r.drainingEndpoints(now),
 	}
+	if old != nil && v.same(old) {
+		return old
+	}
 	if v.config == nil {
 		return v
 	}
@@ -53,6 +59,11 @@
 	return v
 }
 
+// same reports whether both views are computed from the same inputs.
+func (v *view) same(old *view) bool {
+	return v.config == old.config && v.members.Version() == old.members.Version() && maps.Equal(v.draining, old.draining)
+}
+
 // names returns the names of everything that has an owner.
 func (v *view) names() []string {
 	names := sharder.Names()
