quoter: token quota of a workspace across all routers

tokens-per-second of the configuration was parsed but not enforced. A holder per workspace grants time-limited shares to entry routers, and the entry routers charge input plus expected output at admission. A fixed share per router was ruled out: at 360 routers it is below one request. Router: admission in backend, message quota, one more run part.

--- a/router/backend.go
+++ b/router/backend.go
@@ -98,8 +98,17 @@
 	if refusal := b.router.suspects.Refusal(c.Fingerprint); refusal != nil {
 		return nil, refusal
 	}
+	admission, err := b.router.quotas.Admit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
 	b.router.record("request-accepted", c.RequestID, c.Chat, c.Workspace, c.Revision, "model "+c.Model+", class "+c.PriorityClass)
-	return b.router.forward.Complete(ctx, c)
+	stream, err := b.router.forward.Complete(ctx, c)
+	if err != nil {
+		admission.Refund()
+		return nil, err
+	}
+	return admission.Stream(stream), nil
 }
 
 // CallService implements responder.Backend.
--- a/router/control.go
+++ b/router/control.go
@@ -325,6 +325,19 @@
 	return lo.Map(lo.Values(groups), func(g *aggregator.Group, _ int) aggregator.Group { return *g })
 }
 
+// tokenRate returns the quota of a workspace in tokens per second.
+func (r *Router) tokenRate(workspace string) (float64, bool) {
+	v := r.current()
+	if v == nil || v.config == nil {
+		return 0, false
+	}
+	w, ok := v.config.Workspace(workspace)
+	if !ok {
+		return 0, false
+	}
+	return float64(w.TokensPerSecond()), true
+}
+
 // serviceEndpoints returns the endpoints of a service that take new work.
 func (r *Router) serviceEndpoints(service string) []caller.Endpoint {
 	v := r.current()
--- a/router/peers.go
+++ b/router/peers.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/operator"
 	"github.com/bergamotdale/bergamotdale/peerclient"
+	"github.com/bergamotdale/bergamotdale/quoter"
 	"github.com/bergamotdale/bergamotdale/recorder"
 	"github.com/bergamotdale/bergamotdale/sharder"
 )
@@ -42,6 +43,9 @@
 	handle(api, limit, aggregator.LoadPath, func(_ context.Context, m aggregator.LoadRequest) (aggregator.LoadResponse, error) {
 		return r.loads.HandleLoad(m), nil
 	})
+	handle(api, limit, quoter.Path, func(_ context.Context, m quoter.Request) (quoter.Response, error) {
+		return r.quotas.Handle(m), nil
+	})
 	handle(api, limit, "config", r.follower.HandleConfig)
 	handle(api, limit, "status", func(ctx context.Context, m follower.StatusRequest) (follower.Status, error) {
 		return r.follower.HandleStatus(ctx, m)
--- a/router/router.go
+++ b/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/bergamotdale/bergamotdale/forwarder"
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/quoter"
 	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/sharder"
@@ -65,6 +66,7 @@
 	forward   *forwarder.Forwarder
 	callers   *caller.Caller
 	suspects  *suspects
+	quotas    *quoter.Quoter
 	telemetry *telemetry
 
 	view    atomic.Pointer[view]
@@ -118,6 +120,7 @@
 		r.gossiper.Run,
 		r.elector.Run,
 		r.loads.Run,
+		r.quotas.Run,
 		r.control,
 	}
 }
@@ -176,6 +179,9 @@
 	r.loads.Logger = r.Logger.Named("aggregator")
 	r.loads.Groups = r.loadGroups
 	r.suspects = newSuspects(r.self.ID, r.clock, r.gossiper)
+	r.quotas = quoter.New(r.self.ID, r.peer, r.gossiper, r.clock)
+	r.quotas.Logger = r.Logger.Named("quoter")
+	r.quotas.Rate = r.tokenRate
 }
 
 // buildRequestPath creates the entry side and the owner side.
