quoter, router: tests of the quota; fix of two endless asks

A request asked its holder again without pause when a sum of grants stayed below its cost by rounding, or when the lack was below the resolution of the wait: found by the virtual-time tests, which never ended (600 s timeout).

--- a/quoter/entry.go
+++ b/quoter/entry.go
@@ -16,6 +16,8 @@
 	// has about ten busy workspaces: 20 asks/s before batching.
 	lookAhead   = time.Second
 	askInterval = 500 * time.Millisecond
+	// askMargin is added to what a request lacks, in tokens.
+	askMargin = 0.01
 	// minDemand is the rate below which nothing is asked in advance.
 	minDemand = 1
 	// firstOutput is the expected output of a workspace's first request, and
@@ -205,6 +207,10 @@
 	ask.Least = min(max(ask.Least+a.debt-available, 0), Burst(a.rate))
 	a.refusedNeed = ask.Least
 	if ask.Need > 0 {
+		// Without a margin a sum of grants can stay below the cost by rounding,
+		// and the request would ask again and again until its wait ends.
+		ask.Need += askMargin
+		ask.Least += askMargin
 		return ask, true
 	}
 	return ask, a.demand >= minDemand && available < a.demand*lookAhead.Seconds()
--- a/quoter/quoter.go
+++ b/quoter/quoter.go
@@ -246,3 +246,11 @@
 		}
 	}
 }
+
+// Workspaces returns how many workspaces are in memory, those that this router
+// uses and those that it holds counted apart.
+func (q *Quoter) Workspaces() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Len() + q.entry.Len()
+}
--- a/quoter/table.go
+++ b/quoter/table.go
@@ -81,8 +81,10 @@
 	}
 	b.granted += grant.Tokens
 	b.check(now)
-	if grant.Tokens <= 0 {
-		return Reply{Workspace: a.Workspace, RetryMS: milliseconds(wait)}
+	if grant.Tokens <= 0 && a.Need > 0 {
+		// A lack below the resolution of the wait has a wait of zero, with which
+		// the entry router would ask again at once.
+		return Reply{Workspace: a.Workspace, RetryMS: max(milliseconds(wait), 1)}
 	}
 	return Reply{Workspace: a.Workspace, Tokens: grant.Tokens, TTLMS: GrantTTL.Milliseconds()}
 }
--- /dev/null
+++ b/router/quota_test.go
@@ -0,0 +1,57 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale/fleettester"
+	"github.com/bergamotdale/bergamotdale/validator"
+)
+
+// Guards against a workspace that gets more than its quota by using several
+// routers, or much less than it.
+func TestQuotaHoldsAcrossRouters(t *testing.T) {
+	const rate, output, seconds = 3000, 40, 8
+	fleet := start(t, &fleettester.Fleet{Routers: 3, Engines: 4, Document: func(d *validator.Document) {
+		d.Workspaces[0].TokensPerSecond = rate
+	}})
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"linen"}]}`, fleettester.Model, output)
+	var mu sync.Mutex
+	var began time.Time
+	served, refused := 0, map[int]int{}
+	ask := func(router, chat int) {
+		headers := map[string]string{"X-Bergamotdale-Workspace": fleettester.Workspace, "X-Bergamotdale-Chat": fmt.Sprint(chat)}
+		response, text := post(t, fleet.Router(router).URL+"/v1/chat/completions", headers, body)
+		mu.Lock()
+		defer mu.Unlock()
+		if response.StatusCode == http.StatusTooManyRequests {
+			assert.Check(t, response.Header.Get("Retry-After") != "", text)
+			if refused[router]++; began.IsZero() {
+				// What was saved up is used.
+				began = time.Now()
+			}
+			return
+		}
+		if response.StatusCode == http.StatusOK && !began.IsZero() && time.Since(began) < seconds*time.Second {
+			served += output
+		}
+	}
+	var clients sync.WaitGroup
+	end := time.Now().Add((seconds + 4) * time.Second)
+	for i := range 24 {
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				ask(i%3, i)
+			}
+		})
+	}
+	clients.Wait()
+	t.Logf("%.0f output tokens/s of a quota of %d, refused per router: %v", float64(served)/seconds, rate, refused)
+	assert.Equal(t, len(refused), 3)
+	assert.Assert(t, float64(served) < 1.2*rate*seconds)
+}
