quoter: short refills are waited for

TestPlannedStopsCutNoStream got status 429: probably the empty bucket of a new holder, which refills in milliseconds.

--- a/quoter/admission.go
+++ b/quoter/admission.go
@@ -10,6 +10,10 @@
 	"github.com/bergamotdale/bergamotdale"
 )
 
+// refillWait is the longest refill that a request waits for. The bucket of a
+// holder that has just taken over is empty, but holds enough a moment later.
+const refillWait = 50 * time.Millisecond
+
 // Admission is a request that was charged to its workspace.
 type Admission struct {
 	quoter *Quoter
@@ -55,15 +59,21 @@
 		if taken {
 			return nil
 		}
-		if after > 0 {
+		if after > refillWait {
 			return exceeded(c.workspace, after)
 		}
 		if expired == nil {
 			expired = q.Clock.After(MaxWait)
 		}
-		q.awaken()
+		var refilled <-chan time.Time
+		if after > 0 {
+			refilled = q.Clock.After(after)
+		} else {
+			q.awaken()
+		}
 		select {
 		case <-changed:
+		case <-refilled:
 		case <-expired:
 			q.abandon(c)
 			return exceeded(c.workspace, retryTime)
