limiter, dispatcher, router: a previous owner reports what it still runs

Its owner stopped while the engine stood still (freeze) with 4 requests, of which the engine had read 2. The new owner was told 4, then read a load report with 2, started 6, and the engine read the other 2. Ruled out: ignoring load reports after a handover; requests of a router that died would block the engine. The fake engine frees a slot before it answers a cancellation or sends the end, so that its counts agree with what it has told; before, it counted a request that it had reported as gone for some microseconds more.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -24,6 +24,9 @@
 	// overloadRetry is when a client may retry while every engine of the group
 	// is at its bound.
 	overloadRetry = time.Second
+	// remainingTTL is how long a count of the previous owner holds without
+	// another one. A router that is gone for so long has lost its connections.
+	remainingTTL = 5 * time.Second
 	// idleTick is how often an admission looks at its queue without an event.
 	idleTick = 250 * time.Millisecond
 )
@@ -50,7 +53,9 @@
 	// of earlier admissions included.
 	atEngine *atomic.Int64
 	released bool
-	crash    crashWatch
+	// remainingUntil is when the count of the previous owner expires.
+	remainingUntil time.Time
+	crash             crashWatch
 }
 
 // newAdmission starts the admission of an engine that this router now owns.
@@ -116,6 +121,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.dispatcher.Clock.Now()
+	if now.After(a.remainingUntil) {
+		a.ownership.SetRemaining(0)
+	}
 	for _, refused := range a.queue.Expire(now) {
 		a.refuse(refused)
 	}
@@ -392,12 +400,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ownership.Confirm(h.Running)
+	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
 	for key, endpoint := range h.Overrides {
 		a.overrides.PutKey(key, endpoint)
 	}
 	a.signal()
 }
 
+// setRemaining applies a count of the previous owner.
+func (a *admission) setRemaining(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ownership.SetRemaining(n)
+	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
+	a.signal()
+}
+
 // record adds an event of a request to the timeline.
 func (a *admission) record(j *job, kind, detail string) {
 	a.dispatcher.Recorder.Record(bergamotdale.Event{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -270,6 +270,31 @@
 	d.received[endpoint] = h
 }
 
+// Remaining returns the requests that this router still runs at engines that it
+// no longer owns, by engine.
+func (d *Dispatcher) Remaining() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	remaining := map[string]int{}
+	for endpoint, count := range d.atEngine {
+		if n := int(count.Load()); n > 0 && d.admissions[endpoint] == nil {
+			remaining[endpoint] = n
+		}
+	}
+	return remaining
+}
+
+// SetRemaining records how many requests the previous owner of an engine still
+// runs there.
+func (d *Dispatcher) SetRemaining(endpoint string, n int) {
+	d.mu.Lock()
+	a := d.admissions[endpoint]
+	d.mu.Unlock()
+	if a != nil {
+		a.setRemaining(n)
+	}
+}
+
 // Stop refuses new requests from now on. Running and queued ones finish.
 func (d *Dispatcher) Stop() {
 	d.mu.Lock()
--- a/enginebatcher/batcher.go
+++ b/enginebatcher/batcher.go
@@ -30,6 +30,7 @@
 	// Admitted is closed when the run gets a slot.
 	Admitted chan struct{}
 	running  bool
+	left     bool
 	index    int
 	// Tokens is the length of the stream generated so far, from the start of
 	// the response.
@@ -63,7 +64,7 @@
 		return nil, ErrQueueFull
 	}
 	if old, ok := b.active[id]; ok && id != "" {
-		old.cancel(ErrSuperseded)
+		b.release(old, ErrSuperseded)
 	}
 	b.arrivals++
 	r := &Run{ID: id, priority: priority, arrival: b.arrivals, Admitted: make(chan struct{})}
@@ -75,14 +76,23 @@
 	return r, nil
 }
 
-// Leave ends a run and gives its slot to the next one.
+// Leave ends a run and gives its slot to the next one. It is called before the
+// client learns of the end, so that the counts agree with what clients know.
 func (b *Batcher) Leave(r *Run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r.cancel(nil)
+	b.release(r, nil)
+}
+
+// release ends a run once. The caller holds mu.
+func (b *Batcher) release(r *Run, cause error) {
+	r.cancel(cause)
+	if r.left {
+		return
+	}
+	r.left = true
 	if r.running {
 		b.running--
-		r.running = false
 	} else {
 		heap.Remove(&b.queue, r.index)
 	}
@@ -102,13 +112,13 @@
 	b.maxRunning = max(b.maxRunning, b.running)
 }
 
-// Cancel cancels the run with the id.
+// Cancel ends the run with the id. Its slot is free when Cancel returns.
 func (b *Batcher) Cancel(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.active[id]
 	if ok {
-		r.cancel(ErrCancelled)
+		b.release(r, ErrCancelled)
 	}
 	return ok
 }
--- a/engineserver/execution.go
+++ b/engineserver/execution.go
@@ -48,6 +48,7 @@
 		return
 	}
 	e.remember()
+	e.server.finish(e.run)
 	e.out.End(usage)
 }
 
--- a/limiter/ownership.go
+++ b/limiter/ownership.go
@@ -24,6 +24,8 @@
 	// expired overlays the standing while the lease is not renewed.
 	expired bool
 	foreign int
+	// remaining is what the previous owner says that it still runs.
+	remaining int
 	counts  []count
 }
 
@@ -50,10 +52,22 @@
 }
 
 // Confirm records a handover message of the previous owner, which has stopped
-// admitting but still has foreign requests at the engine.
-func (o *Ownership) Confirm(foreign int) {
+// admitting but still runs the given number of requests at the engine.
+func (o *Ownership) Confirm(remaining int) {
 	o.standing = StandingConfirmed
-	o.foreign = foreign
+	o.foreign = 0
+	o.remaining = remaining
+}
+
+// SetRemaining records how many requests the previous owner still runs. A load
+// report can show fewer: an engine that stood still has not read all of them.
+func (o *Ownership) SetRemaining(remaining int) {
+	o.remaining = remaining
+}
+
+// others returns the requests at the engine that are not own ones.
+func (o *Ownership) others() int {
+	return max(o.foreign, o.remaining)
 }
 
 // SetExpired records whether the lease has passed its expiry without evidence
@@ -114,8 +128,8 @@
 	case StandingExpired:
 		return half
 	case StandingClaimed:
-		return max(min(half, limit-o.foreign), 0)
+		return max(min(half, limit-o.others()), 0)
 	default:
-		return max(limit-o.foreign, 0)
+		return max(limit-o.others(), 0)
 	}
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -47,6 +47,7 @@
 		return r.follower.HandleStatus(ctx, m)
 	})
 	handle(api, limit, "commit", r.handleCommit)
+	handle(api, limit, remainingPath, r.handleRemaining)
 	mux.HandleFunc("POST "+peerclient.BasePath+"forward", r.handleForward)
 	if ring, ok := r.recorder.(*recorder.Ring); ok {
 		mux.Handle("GET "+operator.EventsPath, ring.Handler())
--- a/router/router.go
+++ b/router/router.go
@@ -119,6 +119,7 @@
 		r.elector.Run,
 		r.loads.Run,
 		r.control,
+		r.reportRemaining,
 	}
 }
 
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +14,8 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/generator"
+	"github.com/bergamotdale/bergamotdale/operator"
+	"github.com/bergamotdale/bergamotdale/recorder"
 )
 
 // checkCalls compares what clients were told with the executions that the
@@ -68,11 +74,41 @@
 			if n := e.MaxInFlight(); n > max(highest[i], fleettester.MaxConcurrency) {
 				highest[i] = n
 				s.Logger.Warn("engine over its limit", zap.String("endpoint", e.Name), zap.Int("requests", n))
+				s.dumpTimeline(ctx, recorder.Filter{Endpoint: e.Name, Since: s.clock.Now().Add(-dumpPeriod)})
 			}
 		}
 	}
 }
 
+// dumpPeriod is how much of the timeline is kept when an invariant is broken.
+const dumpPeriod = 10 * time.Second
+
+// dumpTimeline writes the timeline of all routers to a file in Directory.
+func (s *Soaker) dumpTimeline(ctx context.Context, filter recorder.Filter) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	var addresses []string
+	for i := range routers {
+		addresses = append(addresses, s.fleet.Router(i).Settings.Listen.Operators)
+	}
+	client, err := operator.Dial(ctx, addresses)
+	if err != nil {
+		return
+	}
+	timeline, err := client.Timeline(ctx, filter)
+	if err != nil {
+		return
+	}
+	var text strings.Builder
+	for _, e := range timeline.Events {
+		fmt.Fprintf(&text, "%s %s %s %s %s epoch %d\n", e.Time.Format(time.RFC3339Nano), e.Process, e.Kind, e.RequestID, e.Detail, e.Epoch)
+	}
+	name := filepath.Join(s.Directory, fmt.Sprintf("timeline-%s-%d.txt", filter.Endpoint, s.clock.Now().UnixMilli()))
+	if err := os.WriteFile(name, []byte(text.String()), 0o600); err != nil {
+		s.Logger.Warn("timeline not written", zap.Error(err))
+	}
+}
+
 // revisionPoll is the time between two looks at a router's revision.
 const revisionPoll = 200 * time.Millisecond
 
