--- a/enginebatcher/batcher.go
+++ b/enginebatcher/batcher.go
@@ -47,6 +47,7 @@
 	active      map[string]*Run
 	maxRunning  int
 	maxInFlight int
+	kept        kept
 }
 
 // New returns a batcher; maxQueue zero is unlimited.
@@ -80,6 +81,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.cancel(nil)
+	b.kept.add(r.ID, r.Tokens)
 	if r.running {
 		b.running--
 		r.running = false
@@ -92,6 +94,13 @@
 	b.admit()
 }
 
+// Kept returns the number of tokens kept of the ended run with the id.
+func (b *Batcher) Kept(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept.lengths[id]
+}
+
 func (b *Batcher) admit() {
 	for b.running < b.slots && b.queue.Len() > 0 {
 		r := heap.Pop(&b.queue).(*Run)
--- a/engineserver/complete.go
+++ b/engineserver/complete.go
@@ -51,7 +51,6 @@
 }
 
 func (s *Server) finish(r *enginebatcher.Run) {
-	s.stats.keep(r.ID, r.Tokens)
 	s.batch.Leave(r)
 	s.report()
 }
--- a/engineserver/execution.go
+++ b/engineserver/execution.go
@@ -87,7 +87,7 @@
 	prompt := e.req.PromptTokens()
 	hit := e.server.cache.Lookup(e.req.Prefixes)
 	missing := prompt - hit + e.req.ResumeFrom
-	if e.server.stats.kept(e.req.ID) >= e.req.ResumeFrom {
+	if e.server.batch.Kept(e.req.ID) >= e.req.ResumeFrom {
 		missing -= e.req.ResumeFrom
 	}
 	d := time.Duration(float64(missing) / e.server.PrefillRate * float64(time.Second))
--- a/engineserver/stats.go
+++ b/engineserver/stats.go
@@ -8,9 +8,6 @@
 	"github.com/bergamotdale/bergamotdale/enginegenerator"
 )
 
-// maxKept is the number of ended requests whose generated tokens are kept.
-const maxKept = 1024
-
 // Counters tells what an engine has executed.
 type Counters struct {
 	// Starts counts per request id how often it got a slot, and Resumes how
@@ -30,19 +27,14 @@
 	Generated    int64 `json:"generated-tokens"`
 }
 
-// stats collects the counters and the lengths of ended streams.
+// stats collects the counters.
 type stats struct {
 	mu       sync.Mutex
 	counters Counters
-	lengths  map[string]int
-	ended    []string
 }
 
 func newStats() *stats {
-	return &stats{
-		counters: Counters{Starts: map[string]int{}, Resumes: map[string]int{}},
-		lengths:  map[string]int{},
-	}
+	return &stats{counters: Counters{Starts: map[string]int{}, Resumes: map[string]int{}}}
 }
 
 func (s *stats) start(r *enginegenerator.Request) {
@@ -79,28 +71,6 @@
 	s.counters.Generated += int64(tokens)
 }
 
-// keep remembers the length of an ended stream, so that the engine can resume
-// it without generating its tokens again.
-func (s *stats) keep(id string, tokens int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.lengths[id]; !ok {
-		s.ended = append(s.ended, id)
-	}
-	s.lengths[id] = max(s.lengths[id], tokens)
-	if len(s.ended) > maxKept {
-		delete(s.lengths, s.ended[0])
-		s.ended = s.ended[1:]
-	}
-}
-
-// kept returns the number of tokens kept of an ended stream.
-func (s *stats) kept(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lengths[id]
-}
-
 func (s *stats) snapshot(b *enginebatcher.Batcher) Counters {
 	s.mu.Lock()
 	defer s.mu.Unlock()
