--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -55,7 +55,7 @@
 	released bool
 	// remainingUntil is when the count of the previous owner expires.
 	remainingUntil time.Time
-	crash             crashWatch
+	crash          crashWatch
 }
 
 // newAdmission starts the admission of an engine that this router now owns.
--- a/enginebatcher/batcher.go
+++ b/enginebatcher/batcher.go
@@ -48,6 +48,7 @@
 	active      map[string]*Run
 	maxRunning  int
 	maxInFlight int
+	kept        kept
 }
 
 // New returns a batcher; maxQueue zero is unlimited.
@@ -81,6 +82,7 @@
 func (b *Batcher) Leave(r *Run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.kept.add(r.ID, r.Tokens)
 	b.release(r, nil)
 }
 
@@ -102,6 +104,13 @@
 	b.admit()
 }
 
+// Kept returns the number of tokens kept of the ended run with the id.
+func (b *Batcher) Kept(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept.lengths[id]
+}
+
 func (b *Batcher) admit() {
 	for b.running < b.slots && b.queue.Len() > 0 {
 		r := heap.Pop(&b.queue).(*Run)
--- a/limiter/ownership.go
+++ b/limiter/ownership.go
@@ -26,7 +26,7 @@
 	foreign int
 	// remaining is what the previous owner says that it still runs.
 	remaining int
-	counts  []count
+	counts    []count
 }
 
 // count is the number of own requests at the engine from a time on.
