--- a/peerclient/peerclient_test.go
+++ b/peerclient/peerclient_test.go
@@ -277,7 +277,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out := peerclient.NewFrameWriter(w)
 		if strings.HasSuffix(r.URL.Path, "refused") {
-			assert.NilError(t, out.Refuse(peerclient.NotOwner("engine-1", "router-2", 7).After(time.Second), "r", 0))
+			assert.NilError(t, out.Refuse(bergamotdale.Refuse(bergamotdale.CodeNotOwner, "not the owner").To(bergamotdale.Redirect{Owner: "router-2", Epoch: 7}).After(time.Second), "r", 0))
 			return
 		}
 		assert.NilError(t, out.Write(frame(bergamotdale.FrameData, 0)))
@@ -321,14 +321,12 @@
 	r := refusal(t, err)
 	assert.Equal(t, r.Outcome, bergamotdale.OutcomeNotRun)
 	assert.Equal(t, r.RetryAfter, time.Second)
-	var owner *peerclient.NotOwnerError
-	assert.Assert(t, errors.As(err, &owner))
-	assert.Equal(t, *owner, peerclient.NotOwnerError{Owner: "router-2", Epoch: 7})
+	assert.Equal(t, *r.Redirect, bergamotdale.Redirect{Owner: "router-2", Epoch: 7})
 
 	later := first("refused-later")
 	f, err = later.Next()
 	assert.NilError(t, err)
-	assert.Equal(t, peerclient.FromWire(*f.Refusal).Code, bergamotdale.CodeQuarantined)
+	assert.Equal(t, f.Refusal.Refusal().Code, bergamotdale.CodeQuarantined)
 	_, err = later.Next()
 	assert.Equal(t, err, io.EOF)
 
@@ -367,5 +365,5 @@
 	var wire bergamotdale.WireRefusal
 	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &wire))
 	assert.Equal(t, wire.RequestID, "id-1")
-	assert.DeepEqual(t, *peerclient.FromWire(wire), *sent)
+	assert.DeepEqual(t, *wire.Refusal(), *sent)
 }
