committer: no timers that are due at once in the tests

Cause: go test -race ./committer -run TestAtMostOnce -rapid.checks=6000 -rapid.steps=200 -rapid.seed=77 ended twice of two runs with SIGSEGV in runtime.(*timer).maybeRunChan, without a report of the race detector. Inside a synctest bubble Go 1.26.8 runs a timer that is due at the receive on the receiver's thread, with a race context that all goroutines of the bubble share. Ruled out: a fault of the package; the same seed passes without -race. Change: the endpoint of the tests makes no timer for a delay of zero. Conclusion: the property test is unchanged; only the delay of zero differs.

--- a/committer/model_test.go
+++ b/committer/model_test.go
@@ -73,6 +73,15 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+// wait blocks for a time. It makes no timer that is due at once: with -race,
+// Go 1.26.8 crashed in runtime.(*timer).maybeRunChan when it received from such
+// a timer inside a bubble.
+func (w *world) wait(d time.Duration) {
+	if d > 0 {
+		<-w.clock.After(d)
+	}
+}
+
 func (w *world) nextFault() fault {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -253,7 +262,7 @@
 		if p.blocked() != nil {
 			return bergamotdale.ServiceResponse{}, lost
 		}
-		<-w.clock.After(delay)
+		w.wait(delay)
 		w.lock.Lock()
 		if b == refuses {
 			w.lock.Unlock()
@@ -274,7 +283,7 @@
 		}
 		w.responses[key] = body
 		w.lock.Unlock()
-		<-w.clock.After(delay)
+		w.wait(delay)
 		if b == losesAnswer || p.blocked() != nil {
 			return bergamotdale.ServiceResponse{}, lost
 		}
--- a/committer/shard_test.go
+++ b/committer/shard_test.go
@@ -101,7 +101,9 @@
 		response, err := x.shard.Execute(ctx, r, func(context.Context) (bergamotdale.ServiceResponse, error) {
 			x.calls++
 			n := x.calls
-			<-x.clock.After(lasts)
+			if lasts > 0 {
+				<-x.clock.After(lasts)
+			}
 			return bergamotdale.ServiceResponse{Status: 200, Body: json.RawMessage(fmt.Sprintf(`"%s %d"`, key, n))}, callErr
 		})
 		results <- result{response, err, x.clock.Now().Sub(start)}
