dispatcher, router: a draining or refusing engine is skipped by the fleet

Cause: an engine that reported that it was draining went on getting requests until the VM list showed it (I5), and each of its refusals cost the entry a retry, until clients got 306 retry-budget-spent. Ruled out: refusals that cost no retry; an overloaded engine would be asked again and again. Change: the owner spreads a draining mark by gossip while the engine reports it; after a refusal with a retry time it sends requests elsewhere for that long.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -34,6 +34,7 @@
 // admission is the queue and the running set of one owned engine.
 type admission struct {
 	dispatcher *Dispatcher
+	name       string
 	stop       context.CancelFunc
 	wake       chan struct{}
 
@@ -53,6 +54,9 @@
 	// of earlier admissions included.
 	atEngine *atomic.Int64
 	released bool
+	// refusedUntil is when the engine, which has refused a request, may be asked
+	// again. Without it every request would cost a retry.
+	refusedUntil time.Time
 	// remainingUntil is when the count of the previous owner expires.
 	remainingUntil time.Time
 	crash          crashWatch
@@ -63,6 +67,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &admission{
 		dispatcher: d,
+		name:       assignment.Name,
 		stop:       cancel,
 		wake:       make(chan struct{}, 1),
 		queue:      scheduler.New(scheduler.Config{Classes: policy.Classes}),
@@ -209,6 +214,10 @@
 				To(bergamotdale.Redirect{Endpoint: other})
 		}
 	}
+	if wait := a.refusedUntil.Sub(a.dispatcher.Clock.Now()); wait > 0 {
+		return bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%s refuses work", c.Endpoint).After(wait).
+			To(bergamotdale.Redirect{Endpoint: a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)})
+	}
 	mean, known := a.dispatcher.Loads.Mean(c.Model)
 	if known && !a.policy.Bound.Admits(mean, a.queue.Load()) {
 		return a.overloaded(c, mean)
@@ -348,6 +357,9 @@
 	address := a.assignment.Address
 	a.mu.Unlock()
 	load, err := a.dispatcher.Engine.Load(ctx, address)
+	if err == nil && load.Draining {
+		a.dispatcher.Draining(a.name)
+	}
 	now := a.dispatcher.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -96,6 +96,8 @@
 	Loads      Loads
 	Quarantine Quarantine
 	Replayer   *replayer.Replayer
+	// Draining is called when an owned engine reports that it is draining.
+	Draining func(endpoint string)
 	// PollInterval is the time between two load reports of an engine.
 	PollInterval time.Duration
 
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -231,6 +231,10 @@
 		return
 	}
 	a.queue.Done(now, j.item)
+	if last.Kind == bergamotdale.FrameRefusal && last.Refusal.Code == bergamotdale.CodeEndpointRefused {
+		// Without a time the refusal is about the request, not the engine.
+		a.refusedUntil = now.Add(last.Refusal.Refusal().RetryAfter)
+	}
 	if !j.closed {
 		a.recordEnd(j, last)
 		a.closeBuffer(j, last)
--- a/fleettester/engine.go
+++ b/fleettester/engine.go
@@ -142,3 +142,8 @@
 	defer e.mu.Unlock()
 	return max(e.highest, e.server.Counters().MaxInFlight)
 }
+
+// Drain makes the engine refuse new requests and report that it is draining.
+func (e *Engine) Drain() {
+	e.current().Drain()
+}
--- a/router/endpoint_failure_test.go
+++ b/router/endpoint_failure_test.go
@@ -118,6 +118,32 @@
 	assert.Equal(t, total(fleet, 0), before)
 }
 
+// Guards against new work for an engine that reports that it is draining, while
+// the VM list still shows it as live (I5).
+func TestEngineThatReportsDrainingGetsNoNewWork(t *testing.T) {
+	fleet := start(t, &fleettester.Fleet{Routers: 3, Engines: 4})
+	fleet.EngineAt(0).Drain()
+	// A load report every second, a probe every second, and then 3 s.
+	deadline := time.Now().Add(5 * time.Second)
+	i := 0
+	request := func() {
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":2,"messages":[{"role":"user","content":"chat %d"}]}`, fleettester.Model, i)
+		response, got := post(t, fleet.Router(i%3).URL+"/v1/chat/completions",
+			map[string]string{"X-Bergamotdale-Workspace": fleettester.Workspace}, body)
+		assert.Equal(t, response.StatusCode, http.StatusOK, got)
+		i++
+	}
+	for time.Now().Before(deadline) {
+		request()
+	}
+	before := fleet.EngineAt(0).Counters().Refused
+	for range 60 {
+		request()
+	}
+	assert.Equal(t, fleet.EngineAt(0).Counters().Refused, before)
+	assert.Equal(t, total(fleet, 0), 0)
+}
+
 // total returns the number of requests that the engine has started.
 func total(f *fleettester.Fleet, engine int) int {
 	sum := 0
--- a/router/view.go
+++ b/router/view.go
@@ -14,8 +14,12 @@
 	"github.com/bergamotdale/bergamotdale/validator"
 )
 
-// drainingPrefix starts the rumours that mark endpoints as draining.
-const drainingPrefix = "draining/"
+const (
+	// drainingPrefix starts the rumours that mark endpoints as draining.
+	drainingPrefix = "draining/"
+	// drainingTTL is how long a mark holds after the last report.
+	drainingTTL = 30 * time.Second
+)
 
 // view is what the request paths of a router read. It never changes; control
 // replaces it.
@@ -98,6 +102,17 @@
 	return draining
 }
 
+// markDraining tells the fleet that an engine has reported that it is draining.
+// The mark is renewed while the engine reports it.
+func (r *Router) markDraining(endpoint string) {
+	now := r.clock.Now()
+	key := drainingPrefix + endpoint
+	if mark, ok := r.gossiper.View().Rumour(key, now); ok && mark.Expires.Sub(now) > drainingTTL/2 {
+		return
+	}
+	r.gossiper.Spread(key, r.self.ID, now.UnixMilli(), drainingTTL)
+}
+
 // directory is the view as the forwarder needs it.
 type directory struct {
 	router *Router
