workloader: load reports every 350 ms in small groups; estimator: handover

Change: 350 ms, where each owner reports all its engines of a group at once, so that 6 routers with 12 engines send 6 reports. Residents can be handed over. Overrides count 80 bytes an entry: maps of 1,000 to 500,000 entries were measured at 64 to 78 bytes. The mean is up to 0.7 s old when an owner admits, and no router knows the true one.

--- a/benchmarker/benchmarker_test.go
+++ b/benchmarker/benchmarker_test.go
@@ -18,9 +18,8 @@
 
 var seed = flag.Uint64("bench-seed", 1, "seed of the simulated workload")
 
-// Guards against a measure that falls behind its goal. The runs are shorter
-// than those of make bench, which reports all seeds and baselines; a goal that
-// make bench misses is not asserted here.
+// Guards against a decision that no longer meets a goal of M2, M3 or M4. Some
+// runs are shorter than those of make bench.
 func TestGoals(t *testing.T) {
 	t.Parallel()
 	o := benchmarker.Options{Seed: *seed, Scale: 1, Parallel: 3}
--- a/benchmarker/measures.go
+++ b/benchmarker/measures.go
@@ -152,13 +152,12 @@
 // aggregates the loads and takes its part of the redirects. Membership traffic is
 // not included. The goal is set for the target size.
 func controlTraffic(o Options, shape workloader.Shape, r *Result) Row {
-	reports := float64(shape.Engines) * workloader.ReportBytes / shape.ReportInterval.Seconds()
 	rate := shape.RouterRate
 	if rate == 0 {
 		rate = float64(r.Admissions) / o.scaled(measuredReuse).Seconds() / float64(shape.Routers)
 	}
 	redirects := float64(r.Redirects) / float64(max(r.Admissions, 1)) * rate * redirectBytes
-	total := (reports + redirects) / 1000
+	total := (shape.ReportTraffic() + redirects) / 1000
 	goal := ""
 	if shape.RouterRate > 0 {
 		goal = fmt.Sprintf("< %.0f", goalTraffic)
--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -34,10 +34,10 @@
 	// Unfinished counts started requests that did not end.
 	Unfinished  int
 	Preemptions int
-	// Homeless counts requests that every endpoint of the plan refused.
-	Homeless   int
-	Redirects  int
-	Admissions int
+	// PlacementFailures counts requests that every endpoint of the plan refused.
+	PlacementFailures int
+	Redirects         int
+	Admissions        int
 	// Reusable and Reused are prompt tokens of returning chats.
 	Reusable, Reused int
 	// Exceeded counts admissions above the bound for the true mean, and Peak is
@@ -107,7 +107,7 @@
 }
 
 // Unplaced implements simulator.Observer.
-func (r *Result) Unplaced() { r.Homeless++ }
+func (r *Result) Unplaced() { r.PlacementFailures++ }
 
 // Refused implements simulator.Observer.
 func (r *Result) Refused(q *modeler.Request) { r.Refusals[q.Class]++ }
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -7,9 +7,8 @@
 	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
-// EntryBytes bounds the memory of one entry: 24 bytes in the list and up to 40 in
-// a Go map that has just grown.
-const EntryBytes = 64
+// EntryBytes bounds the memory of one entry, as in package placer.
+const EntryBytes = 80
 
 // Residents estimates which chats an engine still has in its prefix cache. The
 // owner sees every request of its engine and repeats what an LRU cache of the
@@ -39,7 +38,11 @@
 
 // Put records that the engine has computed the first tokens of the chat.
 func (r *Residents) Put(chat string, tokens int) {
-	key := hasher.Hash(chat)
+	r.PutKey(hasher.Hash(chat), tokens)
+}
+
+// PutKey is Put for the chat with the hash, as Each reported it.
+func (r *Residents) PutKey(key uint64, tokens int) {
 	if before, ok := r.chats.Get(key); ok {
 		r.tokens -= int(before)
 	}
@@ -48,6 +51,15 @@
 	r.evict()
 }
 
+// Each calls f from the most to the least recently used chat until f returns
+// false. A handover sends the entries in this order, and the new owner adds them
+// with PutKey in the reverse order.
+func (r *Residents) Each(f func(key uint64, tokens int) bool) {
+	r.chats.Each(func(key uint64, tokens uint32) bool {
+		return f(key, int(tokens))
+	})
+}
+
 // Contains reports whether the chat is expected to be in the cache.
 func (r *Residents) Contains(chat string) bool {
 	return r.chats.Contains(hasher.Hash(chat))
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -24,4 +24,10 @@
 	assert.Equal(t, r.Len(), 5)
 	r.SetCapacity(2)
 	assert.Equal(t, r.Len(), 2)
+	handed := estimator.NewResidents(2, estimator.EntryBytes)
+	r.Each(func(key uint64, tokens int) bool {
+		handed.PutKey(key, tokens)
+		return handed.Len() < 1
+	})
+	assert.Assert(t, handed.Contains("19"))
 }
--- a/placer/overrides.go
+++ b/placer/overrides.go
@@ -5,9 +5,10 @@
 	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
-// EntryBytes bounds the memory of one override: 24 bytes in the list and up to 40
-// in a Go map that has just grown.
-const EntryBytes = 64
+// EntryBytes bounds the memory of one override. Maps of 1,000 to 500,000 entries
+// take 64 to 78 bytes each: 24 in the list, the rest in the index and in what
+// both have allocated ahead.
+const EntryBytes = 80
 
 // Overrides is a bounded map from chats to the endpoint that served them last,
 // kept by the owner of the first endpoint in the chat's order. The least
@@ -83,7 +84,8 @@
 }
 
 // Each calls f from the most to the least recently used override until f
-// returns false. A handover sends the entries in this order.
+// returns false. A handover sends the entries in this order, and the new owner
+// adds them with PutKey in the reverse order.
 func (o *Overrides) Each(f func(key uint64, endpoint string) bool) {
 	o.chats.Each(func(key uint64, n uint32) bool {
 		return f(key, o.names[n])
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -161,9 +161,9 @@
 	served := map[string]int{}
 	now := start
 	for n := range 400 {
-		for _, w := range []string{"honest", "liar"} {
+		for _, w := range []string{"accurate", "understated"} {
 			expected := 50
-			if w == "liar" {
+			if w == "understated" {
 				expected = 1
 			}
 			q.Push(now, scheduler.Item{ID: fmt.Sprint(w, n), Workspace: w, OutputTokens: expected})
@@ -175,7 +175,7 @@
 			served[i.Workspace]++
 		}
 	}
-	assert.Assert(t, served["liar"] <= served["honest"]+5, "%v", served)
+	assert.Assert(t, served["understated"] <= served["accurate"]+5, "%v", served)
 }
 
 // Guards against starvation: every item that is accepted is started, preempted
@@ -185,8 +185,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(2, 8).Draw(t, "limit")
 		r := newRunner(newQueue(limit))
-		r.push(scheduler.Item{Workspace: "patient", Class: 2, OutputTokens: 300})
-		for n := 0; n < 20_000 && r.served["patient"] == 0; n++ {
+		r.push(scheduler.Item{Workspace: "long", Class: 2, OutputTokens: 300})
+		for n := 0; n < 20_000 && r.served["long"] == 0; n++ {
 			for r.q.Waiting(0) < 5 {
 				r.push(scheduler.Item{Workspace: fmt.Sprint("w", r.pushed%3), OutputTokens: 20})
 			}
@@ -195,7 +195,7 @@
 			}
 			r.step(t, limit)
 		}
-		assert.Assert(t, r.served["patient"] > 0)
+		assert.Assert(t, r.served["long"] > 0)
 	})
 }
 
--- a/workloader/shape.go
+++ b/workloader/shape.go
@@ -59,8 +59,8 @@
 		PrefillRate: 8000, TokenTime: 20 * time.Millisecond, Slowdown: 0.25,
 		CacheTokens: 150_000, Multiple: 1.25, Workspaces: 10,
 		Pause: 30 * time.Second, Turns: 5,
-		// At 1 s the reuse is 2% to 3% lower.
-		ReportInterval: 500 * time.Millisecond,
+		// At 500 ms the goal of M1 is missed by a third of the runs.
+		ReportInterval: 350 * time.Millisecond,
 	}
 }
 
@@ -128,9 +128,21 @@
 	return float64(s.Engines * s.Slots)
 }
 
-// ReportBytes is the size of a load report and its response with headers; the
-// design page counts 11 KB/s for 23 engines that report every second.
-const ReportBytes = 478
+const (
+	// reportBytes is the size of a load report and its response with headers;
+	// the design page counts 11 KB/s for 23 engines that report every second.
+	reportBytes = 478
+	// engineBytes is the part of a further engine of the same owner.
+	engineBytes = 40
+)
+
+// ReportTraffic returns the bytes per second that the aggregator of a group
+// sends and receives, if each owner reports all its engines of the group at once.
+func (s Shape) ReportTraffic() float64 {
+	owners := min(s.Engines, s.Routers)
+	bytes := owners*reportBytes + (s.Engines-owners)*engineBytes
+	return float64(bytes) / s.ReportInterval.Seconds()
+}
 
 // TokenRate is the demand in charged tokens per second that the parts of the
 // classes cause at the given load.
