--- a/router/suspects.go
+++ b/isolator/isolator.go
@@ -1,4 +1,7 @@
-package router
+// Package isolator shares the crash counts of requests with the fleet by gossip,
+// so that a request that crashes engines is run apart and then refused by every
+// router.
+package isolator
 
 import (
 	"encoding/json"
@@ -16,8 +19,9 @@
 // crashPrefix starts the rumours that carry crash counts.
 const crashPrefix = "crash/"
 
-// suspects shares the crash counts of requests with the fleet.
-type suspects struct {
+// Isolator is the quarantine of one router. Its methods may be called
+// concurrently.
+type Isolator struct {
 	clock  bergamotdale.Clock
 	gossip *gossiper.Gossiper
 
@@ -26,13 +30,14 @@
 	counts   *quarantiner.Quarantiner
 }
 
-func newSuspects(router string, clock bergamotdale.Clock, g *gossiper.Gossiper) *suspects {
+// New returns an isolator without suspects.
+func New(router string, clock bergamotdale.Clock, g *gossiper.Gossiper) *Isolator {
 	settings := quarantiner.DefaultSettings(router)
-	return &suspects{clock: clock, gossip: g, settings: settings, counts: quarantiner.New(settings)}
+	return &Isolator{clock: clock, gossip: g, settings: settings, counts: quarantiner.New(settings)}
 }
 
-// configure applies the limits in force. Counts are kept over a change.
-func (s *suspects) configure(limits validator.Limits) {
+// Configure applies the limits in force. Counts are kept over a change.
+func (s *Isolator) Configure(limits validator.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.settings
@@ -47,8 +52,8 @@
 	s.counts.Merge(s.clock.Now(), known)
 }
 
-// merge takes in the counts of other routers.
-func (s *suspects) merge(v *gossiper.View, now time.Time) {
+// Merge takes in the counts of other routers.
+func (s *Isolator) Merge(v *gossiper.View, now time.Time) {
 	var counts []quarantiner.Count
 	for _, rumour := range v.Rumours(crashPrefix, now) {
 		var c quarantiner.Count
@@ -65,21 +70,21 @@
 }
 
 // Refusal implements dispatcher.Quarantine.
-func (s *suspects) Refusal(fingerprint string) *bergamotdale.Refusal {
+func (s *Isolator) Refusal(fingerprint string) *bergamotdale.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.counts.Refusal(s.clock.Now(), quarantiner.Fingerprint(fingerprint))
 }
 
 // MayRun implements dispatcher.Quarantine.
-func (s *suspects) MayRun(fingerprint string, running []string) bool {
+func (s *Isolator) MayRun(fingerprint string, running []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.counts.MayRun(s.clock.Now(), quarantiner.Fingerprint(fingerprint), fingerprints(running))
 }
 
 // Crashed implements dispatcher.Quarantine.
-func (s *suspects) Crashed(_ string, running []string) {
+func (s *Isolator) Crashed(_ string, running []string) {
 	s.mu.Lock()
 	changed := s.counts.Crash(s.clock.Now(), fingerprints(running))
 	s.mu.Unlock()
@@ -87,7 +92,7 @@
 }
 
 // Completed implements dispatcher.Quarantine.
-func (s *suspects) Completed(fingerprint string) {
+func (s *Isolator) Completed(fingerprint string) {
 	s.mu.Lock()
 	changed := s.counts.Completed(s.clock.Now(), quarantiner.Fingerprint(fingerprint))
 	s.mu.Unlock()
@@ -95,7 +100,7 @@
 }
 
 // spread tells the fleet about counts of this router.
-func (s *suspects) spread(counts []quarantiner.Count) {
+func (s *Isolator) spread(counts []quarantiner.Count) {
 	for _, c := range counts {
 		value, err := json.Marshal(c)
 		if err != nil {
--- a/router/control.go
+++ b/router/control.go
@@ -52,7 +52,7 @@
 		case <-members:
 		case <-owned:
 		case <-config:
-		case <-r.vms.changed:
+		case <-r.vms.Changed():
 		case <-r.clock.After(controlInterval):
 		case <-ctx.Done():
 			return nil
@@ -64,11 +64,11 @@
 func (r *Router) refresh() {
 	v := r.newView(r.clock.Now(), r.view.Load())
 	r.view.Store(v)
-	r.suspects.merge(v.members, r.clock.Now())
+	r.suspects.Merge(v.members, r.clock.Now())
 	if v.config == nil {
 		return
 	}
-	r.suspects.configure(v.config.Limits())
+	r.suspects.Configure(v.config.Limits())
 	r.checkDrain(v.config)
 	if !r.joined() {
 		return
@@ -120,12 +120,12 @@
 		return true
 	}
 	select {
-	case <-r.vms.first:
+	case <-r.vms.First():
 	default:
 		return false
 	}
 	known := lo.SliceToMap(r.gossiper.View().Members(), func(m bergamotdale.Member) (string, bool) { return m.Address, true })
-	return lo.EveryBy(r.vms.routers(r.self.Address), func(address string) bool { return known[address] })
+	return lo.EveryBy(r.vms.Routers(r.self.Address), func(address string) bool { return known[address] })
 }
 
 // assignments returns the engines that this router owns.
@@ -356,5 +356,5 @@
 		return addresses
 	}
 	// Before the first probe has been answered only the VM list is known.
-	return r.vms.routers(r.self.Address)
+	return r.vms.Routers(r.self.Address)
 }
--- a/router/operators.go
+++ b/router/operators.go
@@ -37,7 +37,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(server.Handler())
-	mux.Handle("GET /metrics", r.telemetry.handler)
+	mux.Handle("GET /metrics", r.meter.Handler())
 	return mux
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -26,10 +26,14 @@
 	"github.com/bergamotdale/bergamotdale/follower"
 	"github.com/bergamotdale/bergamotdale/forwarder"
 	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/isolator"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/meter"
 	"github.com/bergamotdale/bergamotdale/replayer"
 	"github.com/bergamotdale/bergamotdale/retrier"
+	"github.com/bergamotdale/bergamotdale/server"
 	"github.com/bergamotdale/bergamotdale/sharder"
+	"github.com/bergamotdale/bergamotdale/watcher"
 )
 
 // loadPollInterval is the time between two load reports of an owned engine.
@@ -51,21 +55,21 @@
 	// Adapters provides the ports; NewAdapters returns those of a process.
 	Adapters do.Injector
 
-	clock     bergamotdale.Clock
-	peer      bergamotdale.Peer
-	recorder  bergamotdale.Recorder
-	self      bergamotdale.Member
-	vms       *vmWatcher
-	gossiper  *gossiper.Gossiper
-	elector   *elector.Elector
-	follower  *follower.Follower
-	loads     *aggregator.Aggregator
-	dispatch  *dispatcher.Dispatcher
-	shards    *sharder.Sharder
-	forward   *forwarder.Forwarder
-	callers   *caller.Caller
-	suspects  *suspects
-	telemetry *telemetry
+	clock    bergamotdale.Clock
+	peer     bergamotdale.Peer
+	recorder bergamotdale.Recorder
+	self     bergamotdale.Member
+	vms      *watcher.VMs
+	gossiper *gossiper.Gossiper
+	elector  *elector.Elector
+	follower *follower.Follower
+	loads    *aggregator.Aggregator
+	dispatch *dispatcher.Dispatcher
+	shards   *sharder.Sharder
+	forward  *forwarder.Forwarder
+	callers  *caller.Caller
+	suspects *isolator.Isolator
+	meter    *meter.Meter
 
 	view    atomic.Pointer[view]
 	started time.Time
@@ -94,14 +98,14 @@
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
 	for _, s := range servers {
-		group.Add(s.run, s.interrupt)
+		group.Add(s.Run, s.Interrupt)
 	}
 	stopCtx, stopNow := context.WithCancel(context.Background())
 	group.Add(func() error { return r.untilStopped(ctx, stopCtx, servers) }, func(error) { stopNow() })
 	r.Logger.Info("router started", zap.String("id", r.self.ID), zap.Int64("incarnation", r.self.Incarnation),
 		zap.String("failure-domain", r.self.FailureDomain))
 	err = group.Run()
-	if errors.Is(err, errStopped) {
+	if errors.Is(err, errStopped) || errors.Is(err, server.ErrClosed) {
 		r.Logger.Info("router stopped", zap.String("id", r.self.ID))
 		return nil
 	}
@@ -111,7 +115,7 @@
 // parts returns the goroutines of the router beside its servers.
 func (r *Router) parts() []func(context.Context) error {
 	return []func(context.Context) error{
-		r.vms.run,
+		r.vms.Run,
 		r.dispatch.Run,
 		r.shards.Run,
 		r.follower.Run,
@@ -138,11 +142,11 @@
 		Incarnation:   r.clock.Now().UnixNano(),
 		State:         bergamotdale.MemberAlive,
 	}
-	telemetry, err := newTelemetry()
+	metrics, err := meter.New()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	r.telemetry = telemetry
+	r.meter = metrics
 	r.buildMembership(do.MustInvoke[bergamotdale.VMLister](i), store)
 	r.buildRequestPath(i, store)
 	return errors.Trace(r.observe())
@@ -151,8 +155,9 @@
 // buildMembership creates what finds out about routers, owners and
 // configuration.
 func (r *Router) buildMembership(lister bergamotdale.VMLister, store bergamotdale.Store) {
-	r.vms = &vmWatcher{lister: lister, clock: r.clock, logger: r.Logger, interval: r.Settings.Periods.VMList,
-		seeds: r.Settings.Seeds, changed: make(chan struct{}, 1), first: make(chan struct{})}
+	r.vms = watcher.New()
+	r.vms.Lister, r.vms.Clock, r.vms.Logger = lister, r.clock, r.Logger
+	r.vms.Interval, r.vms.Seeds = r.Settings.Periods.VMList, r.Settings.Seeds
 	config := gossiper.DefaultConfig()
 	config.ProbeInterval = r.Settings.Periods.Probe
 	r.gossiper = gossiper.New(config, r.self, r.clock)
@@ -176,7 +181,7 @@
 	r.loads = aggregator.New(r.self.ID, r.peer, r.gossiper, r.clock)
 	r.loads.Logger = r.Logger.Named("aggregator")
 	r.loads.Groups = r.loadGroups
-	r.suspects = newSuspects(r.self.ID, r.clock, r.gossiper)
+	r.suspects = isolator.New(r.self.ID, r.clock, r.gossiper)
 }
 
 // buildRequestPath creates the entry side and the owner side.
--- a/router/stop.go
+++ b/router/stop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/server"
 )
 
 const (
@@ -24,7 +25,7 @@
 
 // untilStopped waits for the planned stop and carries it out. The second
 // context is done when another part of the router has failed.
-func (r *Router) untilStopped(ctx, failed context.Context, servers []*server) error {
+func (r *Router) untilStopped(ctx, failed context.Context, servers []*server.Server) error {
 	select {
 	case <-failed.Done():
 		return nil
@@ -37,15 +38,15 @@
 	r.gossiper.SetDraining()
 	r.handOver(drain)
 	clients, peers, operators := servers[0], servers[1], servers[2]
-	clients.shutdown(drain)
+	clients.Shutdown(drain)
 	if err := r.dispatch.Drain(drain); err != nil {
 		r.Logger.Warn("streams still running at the drain deadline", zap.Error(err))
 	}
 	if err := r.shards.Drain(drain); err != nil {
 		r.Logger.Warn("calls still running at the drain deadline", zap.Error(err))
 	}
-	peers.shutdown(drain)
-	operators.shutdown(drain)
+	peers.Shutdown(drain)
+	operators.Shutdown(drain)
 	r.leave(failed)
 	return errStopped
 }
--- a/router/view.go
+++ b/router/view.go
@@ -96,7 +96,7 @@
 	for _, rumour := range r.gossiper.View().Rumours(drainingPrefix, now) {
 		draining[rumour.Key[len(drainingPrefix):]] = true
 	}
-	for _, vm := range r.vms.draining() {
+	for _, vm := range r.vms.Draining() {
 		draining[vm] = true
 	}
 	return draining
