replayer: one kept frame holds up to 64 tokens

Cause: engines send one token a frame and the replay buffer kept each frame. A Frame is 192 bytes, so that a kept token took 208 bytes of heap. The target (1.7 M tokens/s over 360 routers, 60 s of retention) needs 283,000 tokens per router: 59 MB, above the bound of 32 MB, so that complete responses could be replayed for about half of the promised 60 s.

Ruled out: a larger bound. The whole control plane has 128 MB per node.

Change: data joins the last kept frame until that has 64 tokens. Readers get what they got before, because frames are trimmed to the reader's offset; a buffer above the bound still loses single tokens. The accounted overhead of a token is what the allocator takes, 24 bytes, no longer 16.

A new test fills a replayer with 60 s of the target's tokens.

--- a/replayer/buffer.go
+++ b/replayer/buffer.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"io"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -64,8 +65,7 @@
 	if !fresh || f.Kind == bergamotdale.FrameHeartbeat {
 		return nil
 	}
-	b.frames = append(b.frames, f)
-	b.grow(frameBytes(f))
+	b.add(f)
 	if b.verifier.Ended() {
 		b.finish()
 	}
@@ -74,6 +74,30 @@
 	return nil
 }
 
+// add keeps the frame. Data joins the last frame until that is full: engines
+// send a token a frame, and a Frame is several times larger than a token.
+// Readers may hold the tokens of the last frame, so they are only appended to.
+func (b *Buffer) add(f bergamotdale.Frame) {
+	if f.Kind != bergamotdale.FrameData {
+		b.frames = append(b.frames, f)
+		b.grow(frameBytes(f))
+		return
+	}
+	if n := len(b.frames); n > 0 {
+		last := &b.frames[n-1]
+		if last.Kind == bergamotdale.FrameData && len(last.Tokens)+len(f.Tokens) <= maxFrameTokens {
+			last.Tokens = append(last.Tokens, f.Tokens...)
+			b.grow(tokenBytes(f.Tokens...))
+			return
+		}
+	}
+	// The tokens belong to the sender of the frame; later ones are appended to
+	// a copy.
+	f.Tokens = slices.Clone(f.Tokens)
+	b.frames = append(b.frames, f)
+	b.grow(frameBytes(f))
+}
+
 // Cut ends the buffer where its source failed before the final frame. Readers
 // get the error after the frames so far. Open may then replace the buffer.
 func (b *Buffer) Cut(err error) {
@@ -107,9 +131,17 @@
 	b.replayer.bytes += n
 }
 
-// dropFirst removes the oldest frame.
+// dropFirst removes the oldest token, and with the last token of a frame the
+// frame. A reader of a running stream is most likely at the newest ones.
 func (b *Buffer) dropFirst() {
 	f := b.frames[0]
+	if len(f.Tokens) > 1 {
+		b.grow(-tokenBytes(f.Tokens[0]))
+		b.frames[0].Tokens = f.Tokens[1:]
+		b.frames[0].Offset++
+		b.first = b.frames[0].Offset
+		return
+	}
 	b.frames[0] = bergamotdale.Frame{}
 	b.frames = b.frames[1:]
 	b.first = f.Offset + len(f.Tokens)
@@ -136,13 +168,18 @@
 	f := b.frames[i]
 	if f.Kind == bergamotdale.FrameData {
 		f, _ = streamer.Trim(f, offset)
+		f.Tokens = slices.Clip(f.Tokens)
 	}
 	return f, true
 }
 
 func frameBytes(f bergamotdale.Frame) int64 {
-	n := int64(frameOverhead)
-	for _, t := range f.Tokens {
+	return frameOverhead + tokenBytes(f.Tokens...)
+}
+
+func tokenBytes(tokens ...string) int64 {
+	n := int64(0)
+	for _, t := range tokens {
 		n += tokenOverhead + int64(len(t))
 	}
 	return n
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -25,9 +25,13 @@
 
 const (
 	// frameOverhead and tokenOverhead are the bytes that a kept frame and a
-	// kept token use beside the text: the Frame struct and the string header.
+	// kept token use beside the text: the Frame struct; the string header and
+	// the rounding up of the text to a size of the allocator.
 	frameOverhead = 192
-	tokenOverhead = 16
+	tokenOverhead = 24
+	// maxFrameTokens bounds the tokens of a kept frame. The frame then adds
+	// 3 bytes to each token.
+	maxFrameTokens = 64
 	// bufferOverhead is the size of an empty buffer with its index entries.
 	bufferOverhead = 512
 )
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -141,3 +141,28 @@
 		assert.ErrorIs(t, err, replayer.ErrOffsetGone)
 	})
 }
+
+// Guards against a retention that is cut short because a kept token takes more
+// memory than the target leaves: 1.7 M tokens/s over 360 routers, one token a
+// frame, in responses of 450 tokens.
+func TestRetentionAtTheTargetFits(t *testing.T) {
+	const tokens = 450
+	streams := int(1_700_000 * replayer.Retention.Seconds() / 360 / tokens)
+	r := replayer.New(clock, replayer.Retention, replayer.DefaultBytes)
+	for i := range streams {
+		id := fmt.Sprintf("stream-%d", i)
+		buffer, err := r.Open(id, streamer.Position{})
+		assert.NilError(t, err)
+		framer := streamer.NewFramer(id, streamer.Position{})
+		for range tokens {
+			assert.NilError(t, buffer.Append(framer.Data("linen ")))
+		}
+		assert.NilError(t, buffer.Append(framer.End("stop")))
+	}
+	first, err := r.Read(t.Context(), "stream-0", 0)
+	assert.NilError(t, err)
+	got, end, err := drain(first)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), tokens)
+	assert.Equal(t, end.Length, tokens)
+}
