--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
@@ -21,6 +22,7 @@
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/injector"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/platformclient"
 	"github.com/bergamotdale/bergamotdale/platformserver"
 	"github.com/bergamotdale/bergamotdale/recorder"
@@ -77,9 +79,11 @@
 
 	// process is the process of the router, nil if it runs in this one.
 	process *os.Process
-	stop    context.CancelFunc
-	done    chan struct{}
-	err     error
+	// peer counts the bytes to and from other routers; nil with a process.
+	peer *peerclient.Client
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
 }
 
 // Start starts the fakes, applies the configuration and starts the routers.
@@ -209,11 +213,14 @@
 func (f *Fleet) runInProcess(r *Router, listeners router.Listeners) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	r.peer = peerclient.New()
+	adapters := router.NewAdapters(r.Settings, r.Events)
+	do.OverrideValue[bergamotdale.Peer](adapters, r.peer)
 	process := &router.Router{
 		Settings:  r.Settings,
 		Logger:    f.Logger.Named(r.Name),
 		Listeners: listeners,
-		Adapters:  router.NewAdapters(r.Settings, r.Events),
+		Adapters:  adapters,
 	}
 	go func() {
 		defer close(r.done)
@@ -281,6 +288,12 @@
 	return r.err
 }
 
+// PeerBytes returns the bytes sent and received on the connections that the
+// router has opened to others. The router must run in this process.
+func (r *Router) PeerBytes() (sent, received int64) {
+	return r.peer.Bytes()
+}
+
 // Done is closed when the router has ended.
 func (r *Router) Done() <-chan struct{} {
 	return r.done
--- a/fleettester/process.go
+++ b/fleettester/process.go
@@ -46,6 +46,11 @@
 	return filepath.Join(directory, r.Name+".log")
 }
 
+// PID returns the id of the router's process.
+func (r *Router) PID() int {
+	return r.process.Pid
+}
+
 // Kill ends the process of the router at once and waits for its end.
 func (r *Router) Kill() {
 	_ = r.process.Kill()
