--- /dev/null
+++ b/dispatcher/bench_test.go
@@ -0,0 +1,114 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/dispatcher"
+	"github.com/bergamotdale/bergamotdale/fleettester"
+	"github.com/bergamotdale/bergamotdale/replayer"
+	"github.com/bergamotdale/bergamotdale/streamer"
+)
+
+// instantEngine generates tokens as fast as they are read.
+type instantEngine struct {
+	fakeEngine
+	tokens int
+}
+
+func (e *instantEngine) Complete(_ context.Context, _ string, r bergamotdale.EngineRequest) (bergamotdale.FrameStream, error) {
+	return &tokenStream{framer: streamer.NewFramer(r.RequestID, streamer.Position{}), tokens: e.tokens}, nil
+}
+
+type tokenStream struct {
+	framer *streamer.Framer
+	tokens int
+	ended  bool
+}
+
+func (s *tokenStream) Next() (bergamotdale.Frame, error) {
+	switch {
+	case s.ended:
+		return bergamotdale.Frame{}, io.EOF
+	case s.tokens == 0:
+		s.ended = true
+		return s.framer.End("stop"), nil
+	}
+	s.tokens--
+	return s.framer.Data("linen "), nil
+}
+
+func (s *tokenStream) Close() error { return nil }
+
+// BenchmarkDispatch reports the cost of a request at the owner, from its queue
+// to the end of its replay buffer, without a network. The slope over the
+// tokens is the cost of a token.
+func BenchmarkDispatch(b *testing.B) {
+	for _, tokens := range []int{1, 100, 450, 1000} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			clock := bergamotdale.SystemClock{}
+			d := &dispatcher.Dispatcher{
+				Engine: &instantEngine{tokens: tokens}, Clock: clock, Recorder: discard{}, Logger: zap.NewNop(),
+				Ownership: owner{}, Loads: loads{}, Quarantine: quarantine{}, Replayer: replayer.New(clock, time.Second, 1<<20), PollInterval: time.Second,
+			}
+			ctx, cancel := context.WithCancel(b.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = d.Run(ctx)
+			}()
+			defer func() {
+				cancel()
+				<-done
+			}()
+			assert.NilError(b, fleettester.Await(ctx, func() bool {
+				assign(d, 1)
+				return len(d.Report()) == 1
+			}))
+			b.ReportAllocs()
+			cpu, i := cpuTime(), 0
+			for b.Loop() {
+				complete(b, d, i, tokens)
+				i++
+			}
+			b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// complete sends one request and reads its response.
+func complete(b *testing.B, d *dispatcher.Dispatcher, i, tokens int) {
+	stream, err := d.Dispatch(b.Context(), bergamotdale.Completion{
+		RequestID: fmt.Sprintf("request-%d", i), Workspace: "a", PriorityClass: "only", Chat: fmt.Sprintf("chat-%d", i),
+		Endpoint: "engine-1", PromptTokens: 1, MaxTokens: tokens + 1,
+	})
+	assert.NilError(b, err)
+	for {
+		f, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		assert.NilError(b, err)
+		if f.Kind == bergamotdale.FrameRefusal {
+			b.Fatal(f.Refusal)
+		}
+	}
+	assert.NilError(b, stream.Close())
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
