--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: all build test lint fmt vet unit demo soak bench generate clean
+.PHONY: all build test lint fmt vet unit demo soak bench capacity generate clean
 
 all: build
 
@@ -38,6 +38,20 @@
 bench:
 	go run ./cmd/bench --seed $(SEED) --output $(BENCH_OUTPUT)
 
+# Prints the slopes of docs/CAPACITY.md, one measurement after the other: about
+# 15 minutes. The simulations count calls and bytes in virtual time and take
+# long, so they run twice.
+CAPACITY = go test -run '^$$' -timeout 30m
+capacity:
+	{ $(CAPACITY) -bench Idle -benchtime 1x -count 2 ./fleettester; \
+	$(CAPACITY) -bench . -p 1 -benchtime 1x -count 2 ./gossiper ./elector; \
+	$(CAPACITY) -p 1 -bench 'Memory' -benchtime 1x -count 3 ./placer ./replayer ./committer; \
+	$(CAPACITY) -bench 'Rate' -benchtime 1x -count 1 ./committer; \
+	$(CAPACITY) -p 1 -bench . -benchtime 0.3s -count 3 ./aggregator ./dispatcher ./forwarder ./responder; \
+	$(CAPACITY) -p 1 -bench 'Order|Plan' -benchtime 0.3s -count 3 ./placer; \
+	$(CAPACITY) -bench View -benchtime 5x -count 3 ./router; \
+	$(CAPACITY) -bench Change -benchtime 10x -count 3 ./follower; } | awk -f tools/capacity.awk
+
 # Needs protoc (Debian package protobuf-compiler). CI does not run this.
 generate:
 	cd tools && GOBIN=$(BIN) go install tool
