--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	go run ./cmd/bench --seed $(SEED) --output $(BENCH_OUTPUT)
 
 # Prints the slopes of docs/CAPACITY.md, one measurement after the other: about
-# 15 minutes. The simulations count calls and bytes in virtual time and take
+# 20 minutes. The simulations count calls and bytes in virtual time and take
 # long, so they run twice.
 CAPACITY = go test -run '^$$' -timeout 30m
 capacity:
