forwarder: accepted requests keep looking for an engine for 10 s

(1) A neighbour of a poison request ran beside it at each of its crashes and used up its four streams. (2) After the owner of some engines was killed, the others were at their load bound, because the mean still counted the lost ones, and an accepted stream was refused as overloaded (301). Change: eight streams per request, still under the retry budget; a request that was accepted asks for room for 10 s instead of 0.4 s.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// streamAttempts is how many streams one request may use in all.
-	streamAttempts = 4
+	// streamAttempts is how many streams one request may use in all. A request
+	// that runs beside one that crashes engines can meet each of its crashes;
+	// the retry budget bounds the retries of all requests together.
+	streamAttempts = 8
 	// maxRedirects is how many redirects are followed per stream.
 	maxRedirects = 2
 	// maxSpills is how many endpoints besides the first one are asked for room.
@@ -33,6 +35,10 @@
 	// long every engine can seem to be at its bound.
 	placeRounds = 4
 	roundWait   = 100 * time.Millisecond
+	// resumeRounds is the same for a request that was accepted before and lost
+	// its engine or owner: 10 s. For some seconds the mean still counts engines
+	// whose owner has died, so the others cannot take all of their streams.
+	resumeRounds = 100
 	// crashWait is the wait after a crash. In this time the fleet learns which
 	// requests were running, so that one that crashes engines is run apart.
 	crashWait = time.Second
@@ -179,12 +185,16 @@
 // their load bound, it asks them again a moment later.
 func (r *route) place(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
 	order := r.endpoints
+	rounds := placeRounds
+	if c.Attempt > 0 {
+		rounds = resumeRounds
+	}
 	for round := 1; ; round++ {
 		stream, refusal := r.placeOnce(ctx, c)
 		if refusal == nil {
 			return stream, nil
 		}
-		if refusal.Code != bergamotdale.CodeOverloaded || round == placeRounds {
+		if refusal.Code != bergamotdale.CodeOverloaded || round == rounds {
 			return nil, refusal
 		}
 		if err := bergamotdale.Wait(ctx, r.forwarder.Clock, roundWait); err != nil {
