--- a/gossiper/bench_test.go
+++ b/detector/bench_test.go
@@ -1,4 +1,4 @@
-package gossiper_test
+package detector_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 )
 
 // BenchmarkFleet reports the cost and the speed of membership in the simulated
-// network: go test -bench Fleet -benchtime 1x ./gossiper. Times are virtual,
+// network: go test -bench Fleet -benchtime 1x ./detector. Times are virtual,
 // cpu-us/probe is real time in the machines, in a process that does nothing
 // else. Bytes are message bodies sent and received, without HTTP headers.
 func BenchmarkFleet(b *testing.B) {
--- a/gossiper/machine_test.go
+++ b/detector/machine_test.go
@@ -1,4 +1,4 @@
-package gossiper_test
+package detector_test
 
 import (
 	"fmt"
@@ -9,7 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/detector"
+	"github.com/bergamotdale/bergamotdale/disseminator"
 )
 
 // Guards against views that stay apart after kills, restarts, pauses, loss and
@@ -144,9 +145,9 @@
 	_, ok = net.until(time.Minute, net.converged)
 	assert.Assert(t, ok)
 	observer.use(func(now time.Time) {
-		observer.machine.HandlePing(now, gossiper.PingRequest{
-			From:    gossiper.Update(mustMember(t, observer, "router-001")),
-			Members: []gossiper.MemberUpdate{gossiper.Update(old)},
+		observer.machine.HandlePing(now, detector.PingRequest{
+			From:    disseminator.Update(mustMember(t, observer, "router-001")),
+			Members: []disseminator.MemberUpdate{disseminator.Update(old)},
 		})
 	})
 	m, _ := observer.view.Member(victim.id)
@@ -168,8 +169,8 @@
 	net, _, ok := fleet(5, 6)
 	assert.Assert(t, ok)
 	v := net.nodes["router-002"]
-	v.use(func(now time.Time) { v.machine.SetDraining(now) })
-	seen := func(f func(view *gossiper.View) bool) func() bool {
+	v.use(func(now time.Time) { v.machine.SetDraining() })
+	seen := func(f func(view *disseminator.View) bool) func() bool {
 		return func() bool {
 			for _, id := range net.up() {
 				if !f(net.nodes[id].view) {
@@ -179,11 +180,11 @@
 			return true
 		}
 	}
-	drained := seen(func(view *gossiper.View) bool { return len(view.Owners()) == 5 && len(view.Live()) == 6 })
+	drained := seen(func(view *disseminator.View) bool { return len(view.Owners()) == 5 && len(view.Live()) == 6 })
 	took, ok := net.until(3*time.Second, drained)
 	assert.Assert(t, ok, "draining mark not spread after %s", took)
 	v.paused = true
-	_, ok = net.until(20*time.Second, seen(func(view *gossiper.View) bool {
+	_, ok = net.until(20*time.Second, seen(func(view *disseminator.View) bool {
 		m, _ := view.Member(v.id)
 		return m.State == bergamotdale.MemberSuspect || view == v.view
 	}))
@@ -195,7 +196,7 @@
 	v.use(func(now time.Time) { v.send(v.machine.Leave(now)) })
 	net.run(time.Second)
 	v.up = false
-	_, ok = net.until(10*time.Second, seen(func(view *gossiper.View) bool {
+	_, ok = net.until(10*time.Second, seen(func(view *disseminator.View) bool {
 		m, _ := view.Member(v.id)
 		return m.State == bergamotdale.MemberLeft
 	}))
--- a/gossiper/probe.go
+++ b/detector/probe.go
@@ -1,11 +1,10 @@
-package gossiper
+package detector
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/disseminator"
 )
 
 const (
@@ -14,36 +13,28 @@
 	joinContacts = 3
 	// joinInterval is the time between two attempts to join.
 	joinInterval = time.Second
-	// neverAge is StoreAgeMS without any contact.
-	neverAge = -1
 )
 
-// startProbe probes the next member in a shuffled order, so that every member
-// is probed once in as many intervals as there are members.
+// startProbe probes the next member.
 func (m *Machine) startProbe(now time.Time) []Send {
-	if len(m.order) == 0 {
+	u, ok := m.table.Next()
+	if !ok {
 		return nil
 	}
-	if m.cursor >= len(m.order) {
-		m.cursor = 0
-		m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
-	}
-	r := m.records[m.order[m.cursor]]
-	m.cursor++
 	m.lastID++
-	m.probes[m.lastID] = &probe{target: r.ID, incarnation: r.Incarnation}
+	m.probes[m.lastID] = &probe{target: u.ID, incarnation: u.Incarnation}
 	m.stats.Probes++
-	return []Send{m.ping(now, r, m.lastID)}
+	return []Send{m.ping(now, u, m.lastID)}
 }
 
 // ping returns a ping of the member.
-func (m *Machine) ping(now time.Time, r *record, id uint64) Send {
-	return m.pingAddress(now, r.Address, r.ID, id)
+func (m *Machine) ping(now time.Time, u disseminator.MemberUpdate, id uint64) Send {
+	return m.pingAddress(now, u.Address, u.ID, id)
 }
 
 func (m *Machine) pingAddress(now time.Time, address, about string, id uint64) Send {
-	request := PingRequest{From: m.self, StoreAgeMS: m.storeAgeMS(now)}
-	request.Members, request.Rumours = m.piggyback(now, MaxPiggyback, about, nil)
+	request := PingRequest{From: m.table.Self(), StoreAgeMS: m.table.StoreAgeMS(now)}
+	request.Members, request.Rumours = m.table.Piggyback(now, disseminator.MaxPiggyback, about, nil)
 	s := Send{Kind: SendPing, Address: address, Timeout: m.config.ProbeTimeout, Probe: id, Ping: request}
 	m.countSent(request)
 	return s
@@ -53,26 +44,23 @@
 // known, members whose death is in doubt, and otherwise in turn a dead member
 // or unknown seed, and a live member for a page of its list.
 func (m *Machine) rejoin(now time.Time) []Send {
-	if len(m.order) == 0 {
+	if m.table.Live() == 0 {
 		m.nextRejoin = now.Add(joinInterval)
 		return m.join(now)
 	}
 	// Between half and one and a half intervals: routers that start together
 	// must not read lists in step.
 	m.nextRejoin = now.Add(m.config.RejoinInterval/2 + time.Duration(m.random.Int64N(int64(m.config.RejoinInterval))))
-	for _, id := range slices.Sorted(maps.Keys(m.recheck)) {
-		delete(m.recheck, id)
-		if r := m.records[id]; r != nil && !r.live() {
-			// The next doubt follows after a probe interval.
-			m.nextRejoin = now.Add(m.config.ProbeInterval)
-			return []Send{m.ping(now, r, 0)}
-		}
+	if u, ok := m.table.Doubted(); ok {
+		// The next doubt follows after a probe interval.
+		m.nextRejoin = now.Add(m.config.ProbeInterval)
+		return []Send{m.ping(now, u, 0)}
 	}
 	var sends []Send
-	if address, id, ok := m.lost(); ok {
+	if address, id, ok := m.table.Lost(m.seeds); ok {
 		sends = append(sends, m.pingAddress(now, address, id, 0))
 	}
-	if r := m.pick(1, ""); len(r) > 0 && !m.syncing {
+	if r := m.table.Pick(1, ""); len(r) > 0 && !m.syncing {
 		sends = append(sends, m.sync(now, r[0].Address, m.syncCursor))
 	}
 	return sends
@@ -85,7 +73,7 @@
 		if len(sends) == joinContacts {
 			break
 		}
-		sends = append(sends, m.sync(now, m.seeds[i].Address, ""))
+		sends = append(sends, m.sync(now, m.seeds[i], ""))
 	}
 	return sends
 }
@@ -100,59 +88,15 @@
 	return s
 }
 
-// lost returns a random dead member, or a listed router that is not known.
-func (m *Machine) lost() (address, id string, ok bool) {
-	type candidate struct{ address, id string }
-	var all []candidate
-	known := make(map[string]bool, len(m.records))
-	for _, r := range m.records {
-		known[r.Address] = true
-		if r.State == bergamotdale.MemberDead && r.Address != "" {
-			all = append(all, candidate{r.Address, r.ID})
-		}
-	}
-	for _, vm := range m.seeds {
-		if !known[vm.Address] {
-			all = append(all, candidate{vm.Address, ""})
-		}
-	}
-	if len(all) == 0 {
-		return "", "", false
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.address < b.address {
-			return -1
-		}
-		return 1
-	})
-	c := all[m.random.IntN(len(all))]
-	return c.address, c.id, true
-}
-
-// pick returns up to n random live members other than the one named.
-func (m *Machine) pick(n int, except string) []*record {
-	var picked []*record
-	for range 4 * n {
-		if len(m.order) == 0 || len(picked) == n {
-			break
-		}
-		r := m.records[m.order[m.random.IntN(len(m.order))]]
-		if r.ID != except && r.State != bergamotdale.MemberSuspect && !slices.Contains(picked, r) {
-			picked = append(picked, r)
-		}
-	}
-	return picked
-}
-
 // HandlePing responds to a probe.
 func (m *Machine) HandlePing(now time.Time, r PingRequest) PingResponse {
 	m.countReceived(r)
-	m.receive(now, r.From, r.StoreAgeMS, r.Members, r.Rumours)
-	response := PingResponse{From: m.self, StoreAgeMS: m.storeAgeMS(now)}
+	m.table.Receive(now, r.From, r.StoreAgeMS, r.Members, r.Rumours)
+	response := PingResponse{From: m.table.Self(), StoreAgeMS: m.table.StoreAgeMS(now)}
 	if r.Sync {
-		response.Members, response.Rumours, response.Next = m.page(now, r.From.ID, r.After)
+		response.Members, response.Rumours, response.Next = m.table.Page(now, r.From.ID, r.After)
 	} else {
-		response.Members, response.Rumours = m.piggyback(now, MaxPiggyback, r.From.ID, carried(r.Members, r.Rumours))
+		response.Members, response.Rumours = m.table.Piggyback(now, disseminator.MaxPiggyback, r.From.ID, disseminator.Carried(r.Members, r.Rumours))
 	}
 	m.countSent(response)
 	return response
@@ -161,19 +105,19 @@
 // HandleIndirect returns the ping that an indirect probe asks for.
 func (m *Machine) HandleIndirect(now time.Time, r IndirectRequest) Send {
 	m.countReceived(r)
-	m.receive(now, r.From, neverAge, r.Members, r.Rumours)
+	m.table.Receive(now, r.From, disseminator.NeverAge, r.Members, r.Rumours)
 	return m.pingAddress(now, r.Target.Address, r.Target.ID, 0)
 }
 
 // FinishIndirect returns the response to an indirect probe.
 func (m *Machine) FinishIndirect(now time.Time, r IndirectRequest, result Result) IndirectResponse {
-	response := IndirectResponse{From: m.self}
+	response := IndirectResponse{From: m.table.Self()}
 	if result.Err == nil {
 		m.receivePing(now, result)
 		response.Reached = result.Ping.From.ID == r.Target.ID
 		response.Target = &result.Ping.From
 	}
-	response.Members, response.Rumours = m.piggyback(now, MaxPiggyback-1, r.From.ID, carried(r.Members, r.Rumours))
+	response.Members, response.Rumours = m.table.Piggyback(now, disseminator.MaxPiggyback-1, r.From.ID, disseminator.Carried(r.Members, r.Rumours))
 	m.countSent(response)
 	return response
 }
@@ -199,8 +143,7 @@
 
 func (m *Machine) finishPing(now time.Time, result Result) []Send {
 	from := result.Ping.From
-	before := m.records[from.ID]
-	wasLive := before != nil && before.live()
+	wasLive := m.live(from.ID)
 	m.receivePing(now, result)
 	if p := m.probes[result.Send.Probe]; p != nil {
 		delete(m.probes, result.Send.Probe)
@@ -212,8 +155,7 @@
 	if result.Send.Ping.Sync {
 		return m.nextPage(now, result)
 	}
-	after := m.records[from.ID]
-	if !wasLive && after != nil && after.live() && !m.syncing && len(m.order) > 1 {
+	if !wasLive && m.live(from.ID) && !m.syncing && m.table.Live() > 1 {
 		// A member came back: its side may know members that this one lost.
 		m.syncing = true
 		return []Send{m.sync(now, result.Send.Address, "")}
@@ -224,14 +166,14 @@
 // receivePing merges the response to a ping.
 func (m *Machine) receivePing(now time.Time, result Result) {
 	m.countReceived(result.Ping)
-	m.receive(now, result.Ping.From, result.Ping.StoreAgeMS, result.Ping.Members, result.Ping.Rumours)
+	m.table.Receive(now, result.Ping.From, result.Ping.StoreAgeMS, result.Ping.Members, result.Ping.Rumours)
 }
 
 // nextPage continues reading the list of a member. A single page was asked
 // for by the periodic exchange, all pages by a join or a return.
 func (m *Machine) nextPage(now time.Time, result Result) []Send {
 	next := result.Ping.Next
-	whole := m.syncing || result.Send.Ping.After == "" && m.syncCursor == "" && len(m.order) > 0 && !m.syncedOnce
+	whole := m.syncing || result.Send.Ping.After == "" && m.syncCursor == "" && m.table.Live() > 0 && !m.syncedOnce
 	if !whole {
 		m.syncCursor = next
 		return nil
@@ -247,15 +189,15 @@
 
 // probeIndirectly asks other members to probe the target.
 func (m *Machine) probeIndirectly(now time.Time, id uint64, p *probe) []Send {
-	r := m.records[p.target]
-	if r == nil || !r.live() {
+	target, ok := m.table.Member(p.target)
+	if !ok || !m.live(p.target) {
 		delete(m.probes, id)
 		return nil
 	}
 	var sends []Send
-	for _, helper := range m.pick(m.config.IndirectProbes, p.target) {
-		request := IndirectRequest{From: m.self, Target: r.MemberUpdate}
-		request.Members, request.Rumours = m.piggyback(now, MaxPiggyback-1, helper.ID, nil)
+	for _, helper := range m.table.Pick(m.config.IndirectProbes, p.target) {
+		request := IndirectRequest{From: m.table.Self(), Target: target}
+		request.Members, request.Rumours = m.table.Piggyback(now, disseminator.MaxPiggyback-1, helper.ID, nil)
 		m.countSent(request)
 		sends = append(sends, Send{
 			Kind: SendIndirect, Address: helper.Address, Timeout: m.config.IndirectTimeout, Probe: id, Indirect: request,
@@ -272,9 +214,9 @@
 func (m *Machine) finishIndirectProbe(now time.Time, result Result) {
 	if result.Err == nil {
 		m.countReceived(result.Indirect)
-		m.receive(now, result.Indirect.From, neverAge, result.Indirect.Members, result.Indirect.Rumours)
+		m.table.Receive(now, result.Indirect.From, disseminator.NeverAge, result.Indirect.Members, result.Indirect.Rumours)
 		if result.Indirect.Target != nil {
-			m.merge(now, *result.Indirect.Target)
+			m.table.Merge(now, *result.Indirect.Target)
 		}
 	}
 	p := m.probes[result.Send.Probe]
@@ -292,15 +234,16 @@
 	}
 }
 
-// suspect marks the target of a failed probe, unless newer news has arrived
-// since the probe began.
+// suspect marks the target of a failed probe.
 func (m *Machine) suspect(now time.Time, p *probe) {
 	m.stats.FailedProbes++
-	r := m.records[p.target]
-	if r == nil || r.Incarnation != p.incarnation || !r.live() || r.State == bergamotdale.MemberSuspect {
-		return
-	}
-	m.set(now, r, r.Incarnation, bergamotdale.MemberSuspect)
+	m.table.Suspect(now, p.target, p.incarnation)
+}
+
+// live reports whether another member is known and not dead or left.
+func (m *Machine) live(id string) bool {
+	u, ok := m.table.Member(id)
+	return ok && u.State != bergamotdale.MemberDead && u.State != bergamotdale.MemberLeft
 }
 
 func (m *Machine) countSent(message any) {
--- a/gossiper/sim_test.go
+++ b/detector/sim_test.go
@@ -1,4 +1,4 @@
-package gossiper_test
+package detector_test
 
 import (
 	"container/heap"
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/detector"
+	"github.com/bergamotdale/bergamotdale/disseminator"
 )
 
 var errTimeout = errors.New("no response in time")
@@ -42,8 +43,8 @@
 type node struct {
 	net     *network
 	id      string
-	machine *gossiper.Machine
-	view    *gossiper.View
+	machine *detector.Machine
+	view    *disseminator.View
 	up      bool
 	paused  bool
 	// side is the partition that the node is in.
@@ -122,7 +123,7 @@
 		side = old.side
 	}
 	v := &node{net: n, id: id, up: true, side: side, known: map[string]int64{}}
-	v.machine = gossiper.NewMachine(gossiper.DefaultConfig(), member, n.random.Uint64(), n.now)
+	v.machine = detector.NewMachine(detector.DefaultConfig(), member, n.random.Uint64(), n.now)
 	n.nodes[id] = v
 	v.readList()
 	v.tick()
@@ -155,7 +156,7 @@
 	for _, id := range sortedKeys(v.net.nodes) {
 		if v.net.nodes[id].up != (v.net.random.Float64() < 0.1) {
 			vms = append(vms, bergamotdale.VM{
-				Name: id, Address: "10.0.0.1:" + id, Role: gossiper.RouterRole, State: bergamotdale.VMLive,
+				Name: id, Address: "10.0.0.1:" + id, Role: detector.RouterRole, State: bergamotdale.VMLive,
 			})
 		}
 	}
@@ -201,9 +202,9 @@
 	v.net.cpu += time.Since(start)
 }
 
-func (v *node) send(sends []gossiper.Send) {
+func (v *node) send(sends []detector.Send) {
 	for _, s := range sends {
-		v.exchange(s, func(r gossiper.Result) {
+		v.exchange(s, func(r detector.Result) {
 			v.use(func(now time.Time) { v.send(v.machine.Finish(now, r)) })
 		})
 	}
@@ -211,26 +212,26 @@
 
 // exchange carries a message and its response. finish runs once, with the
 // response or after the timeout.
-func (v *node) exchange(s gossiper.Send, finish func(gossiper.Result)) {
+func (v *node) exchange(s detector.Send, finish func(detector.Result)) {
 	open := true
-	respond := func(r gossiper.Result) {
+	respond := func(r detector.Result) {
 		if open {
 			open = false
 			v.deliver(func() { finish(r) })
 		}
 	}
-	v.net.after(s.Timeout, func() { respond(gossiper.Result{Send: s, Err: errTimeout}) })
+	v.net.after(s.Timeout, func() { respond(detector.Result{Send: s, Err: errTimeout}) })
 	target := v.net.nodes[s.Address[len("10.0.0.1:"):]]
 	v.transmit(target, func() {
-		result := gossiper.Result{Send: s}
-		if s.Kind == gossiper.SendPing {
+		result := detector.Result{Send: s}
+		if s.Kind == detector.SendPing {
 			target.use(func(now time.Time) { result.Ping = target.machine.HandlePing(now, s.Ping) })
 			target.transmit(v, func() { respond(result) })
 			return
 		}
-		var ping gossiper.Send
+		var ping detector.Send
 		target.use(func(now time.Time) { ping = target.machine.HandleIndirect(now, s.Indirect) })
-		target.exchange(ping, func(r gossiper.Result) {
+		target.exchange(ping, func(r detector.Result) {
 			target.use(func(now time.Time) { result.Indirect = target.machine.FinishIndirect(now, s.Indirect, r) })
 			target.transmit(v, func() { respond(result) })
 		})
--- a/gossiper/merge.go
+++ b/disseminator/merge.go
@@ -1,9 +1,10 @@
-package gossiper
+package disseminator
 
 import (
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/spreader"
 )
 
 // rank orders the states of one incarnation: the higher one wins.
@@ -23,8 +24,8 @@
 	return -1
 }
 
-// merge takes in what another router says about a member.
-func (m *Machine) merge(now time.Time, u MemberUpdate) {
+// Merge takes in what another router says about a member.
+func (m *Table) Merge(now time.Time, u MemberUpdate) {
 	if u.ID == "" || rank(u.State) < 0 {
 		return
 	}
@@ -71,7 +72,7 @@
 
 // learn adds a member that was not known. A dead one is remembered, so that
 // older news does not add it.
-func (m *Machine) learn(now time.Time, u MemberUpdate) {
+func (m *Table) learn(now time.Time, u MemberUpdate) {
 	if u.Address == "" && u.State != bergamotdale.MemberDead && u.State != bergamotdale.MemberLeft {
 		return
 	}
@@ -84,7 +85,7 @@
 }
 
 // set changes the state of a member and queues the change.
-func (m *Machine) set(now time.Time, r *record, incarnation int64, state bergamotdale.MemberState) {
+func (m *Table) set(now time.Time, r *record, incarnation int64, state bergamotdale.MemberState) {
 	assert(incarnation >= r.Incarnation, "incarnation of %s falls from %d to %d", r.ID, r.Incarnation, incarnation)
 	known := r.State != ""
 	wasLive := known && r.live()
@@ -110,17 +111,17 @@
 	}
 	m.version++
 	if known || r.live() {
-		m.queue.add(memberKey(r.ID))
+		m.queue.Add(memberKey(r.ID))
 	}
 	if state == bergamotdale.MemberDead {
 		// Nearly everybody has heard of the suspicion and waits itself.
-		m.queue.skip(memberKey(r.ID), retransmits(len(m.order)+1)/2)
+		m.queue.Skip(memberKey(r.ID), spreader.Retransmits(len(m.order)+1)/2)
 	}
 }
 
 // insert adds a member at a random place of the probe order. New members at
 // the end would all be probed by everybody in the same seconds.
-func (m *Machine) insert(id string) {
+func (m *Table) insert(id string) {
 	i := m.random.IntN(len(m.order) + 1)
 	m.order = append(m.order, "")
 	copy(m.order[i+1:], m.order[i:])
@@ -130,7 +131,7 @@
 	}
 }
 
-func (m *Machine) removeFromOrder(id string) {
+func (m *Table) removeFromOrder(id string) {
 	for i, other := range m.order {
 		if other != id {
 			continue
@@ -146,7 +147,7 @@
 // doubt notes that another router believes a member alive that this one
 // believes dead. A direct probe settles it: the member refutes with a higher
 // incarnation.
-func (m *Machine) doubt(u MemberUpdate, r *record) {
+func (m *Table) doubt(u MemberUpdate, r *record) {
 	alive := u.State == bergamotdale.MemberAlive || u.State == bergamotdale.MemberDraining
 	if alive && r.State == bergamotdale.MemberDead && u.Incarnation == r.Incarnation {
 		// A death of a member that was not known comes without its address.
@@ -157,7 +158,7 @@
 }
 
 // refute answers news that this router is suspect, dead or gone.
-func (m *Machine) refute(u MemberUpdate) {
+func (m *Table) refute(u MemberUpdate) {
 	if m.self.State == bergamotdale.MemberLeft || u.Incarnation < m.self.Incarnation {
 		return
 	}
@@ -169,15 +170,25 @@
 }
 
 // raise gives this router a higher incarnation and spreads it.
-func (m *Machine) raise(incarnation int64) {
+func (m *Table) raise(incarnation int64) {
 	assert(incarnation > m.self.Incarnation, "own incarnation falls from %d to %d", m.self.Incarnation, incarnation)
 	m.self.Incarnation = incarnation
 	m.version++
-	m.queue.add(memberKey(m.self.ID))
+	m.queue.Add(memberKey(m.self.ID))
+}
+
+// Suspect marks a member that did not respond to a probe, unless newer news
+// has arrived since the probe began.
+func (m *Table) Suspect(now time.Time, id string, incarnation int64) {
+	r := m.records[id]
+	if r == nil || r.Incarnation != incarnation || !r.live() || r.State == bergamotdale.MemberSuspect {
+		return
+	}
+	m.set(now, r, r.Incarnation, bergamotdale.MemberSuspect)
 }
 
 // SetDraining marks this router as draining.
-func (m *Machine) SetDraining(_ time.Time) {
+func (m *Table) SetDraining() {
 	if m.self.Draining || m.self.State == bergamotdale.MemberLeft {
 		return
 	}
@@ -186,44 +197,8 @@
 	m.raise(m.self.Incarnation + 1)
 }
 
-// Leave marks this router as left and returns pings that tell a few members
-// at once. Probes stop.
-func (m *Machine) Leave(now time.Time) []Send {
-	if m.self.State == bergamotdale.MemberLeft {
-		return nil
-	}
+// SetLeft marks this router as left.
+func (m *Table) SetLeft() {
 	m.self.State = bergamotdale.MemberLeft
 	m.raise(m.self.Incarnation + 1)
-	var sends []Send
-	for _, r := range m.pick(leaveNotices, "") {
-		sends = append(sends, m.ping(now, r, 0))
-	}
-	return sends
-}
-
-// leaveNotices is the number of members told directly that this router leaves;
-// it sends no further probes that could carry the news.
-const leaveNotices = 4
-
-// SetSeeds replaces the list of VMs.
-func (m *Machine) SetSeeds(vms []bergamotdale.VM) {
-	m.seeds = m.seeds[:0]
-	m.listed = 0
-	for _, vm := range vms {
-		if vm.Role != RouterRole {
-			continue
-		}
-		m.listed++
-		if vm.Address != m.self.Address {
-			m.seeds = append(m.seeds, vm)
-		}
-	}
-}
-
-// Listed returns the number of routers in the list of VMs.
-func (m *Machine) Listed() int {
-	return m.listed
 }
-
-// RouterRole is the role of routers in the VM list.
-const RouterRole = "router"
--- a/gossiper/piggyback.go
+++ b/disseminator/piggyback.go
@@ -1,22 +1,46 @@
-package gossiper
+package disseminator
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
 )
 
-// piggyback returns up to room queued updates. What this router believes of
+const (
+	memberPrefix = "m/"
+	rumourPrefix = "r/"
+	// NeverAge is the age of the latest contact with the store without any.
+	NeverAge = -1
+)
+
+func memberKey(id string) string {
+	return memberPrefix + id
+}
+
+func rumourKey(key string) string {
+	return rumourPrefix + key
+}
+
+// split returns the member ID or the rumour key in a queue key.
+func split(key string) (id string, rumour bool) {
+	if rest, ok := strings.CutPrefix(key, rumourPrefix); ok {
+		return rest, true
+	}
+	return strings.TrimPrefix(key, memberPrefix), false
+}
+
+// Piggyback returns up to room queued updates. What this router believes of
 // the receiver goes first if it is not alive, so that it can refute at once.
 // Keys in except, which the receiver has just sent, are left out.
-func (m *Machine) piggyback(now time.Time, room int, about string, except map[string]bool) ([]MemberUpdate, []Rumour) {
+func (m *Table) Piggyback(now time.Time, room int, about string, except map[string]bool) ([]MemberUpdate, []Rumour) {
 	var members []MemberUpdate
 	var rumours []Rumour
 	if r := m.records[about]; r != nil && rank(r.State) >= rank(bergamotdale.MemberSuspect) {
 		members = append(members, r.brief())
 	}
-	for _, key := range m.queue.take(room-len(members), len(m.order)+1, except) {
+	for _, key := range m.queue.Take(room-len(members), len(m.order)+1, except) {
 		name, rumour := split(key)
 		if rumour {
 			if r := m.rumours[name]; r != nil && now.Before(r.Expires) {
@@ -34,8 +58,8 @@
 	return members, rumours
 }
 
-// carried returns the queue keys of the updates in a message.
-func carried(members []MemberUpdate, rumours []Rumour) map[string]bool {
+// Carried returns the queue keys of the updates in a message.
+func Carried(members []MemberUpdate, rumours []Rumour) map[string]bool {
 	keys := make(map[string]bool, len(members)+len(rumours))
 	for _, u := range members {
 		keys[memberKey(u.ID)] = true
@@ -46,12 +70,12 @@
 	return keys
 }
 
-// receive merges the content of a message.
-func (m *Machine) receive(now time.Time, from MemberUpdate, storeAgeMS int64, members []MemberUpdate, rumours []Rumour) {
+// Receive merges the content of a message.
+func (m *Table) Receive(now time.Time, from MemberUpdate, storeAgeMS int64, members []MemberUpdate, rumours []Rumour) {
 	for _, u := range members[:min(len(members), MaxPiggyback)] {
-		m.merge(now, u)
+		m.Merge(now, u)
 	}
-	m.merge(now, from)
+	m.Merge(now, from)
 	for _, r := range rumours[:min(len(rumours), MaxPiggyback)] {
 		m.hear(now, RumourEntry{
 			Key: r.Key, Value: r.Value, Version: r.Version,
@@ -63,9 +87,9 @@
 	}
 }
 
-// page returns the live members and the rumours after the cursor, and the
+// Page returns the live members and the rumours after the cursor, and the
 // cursor of the next page.
-func (m *Machine) page(now time.Time, about, after string) (members []MemberUpdate, rumours []Rumour, next string) {
+func (m *Table) Page(now time.Time, about, after string) (members []MemberUpdate, rumours []Rumour, next string) {
 	if r := m.records[about]; r != nil && rank(r.State) >= rank(bergamotdale.MemberSuspect) {
 		members = append(members, r.brief())
 	}
@@ -101,12 +125,12 @@
 }
 
 // Spread makes a rumour known to the fleet.
-func (m *Machine) Spread(now time.Time, key, value string, version int64, ttl time.Duration) {
+func (m *Table) Spread(now time.Time, key, value string, version int64, ttl time.Duration) {
 	m.hear(now, RumourEntry{Key: key, Value: value, Version: version, Expires: now.Add(ttl)})
 }
 
 // hear keeps a rumour with a version above the known one and passes it on.
-func (m *Machine) hear(now time.Time, r RumourEntry) {
+func (m *Table) hear(now time.Time, r RumourEntry) {
 	if !now.Before(r.Expires) || r.Key == "" {
 		return
 	}
@@ -120,7 +144,7 @@
 	}
 	m.rumours[r.Key] = &r
 	m.version++
-	m.queue.add(rumourKey(r.Key))
+	m.queue.Add(rumourKey(r.Key))
 }
 
 func (r *RumourEntry) wire(now time.Time) Rumour {
@@ -128,7 +152,7 @@
 }
 
 // SetStoreContact records a contact of any router with the store.
-func (m *Machine) SetStoreContact(at time.Time) {
+func (m *Table) SetStoreContact(at time.Time) {
 	if at.After(m.storeContact) {
 		m.storeContact = at
 	}
@@ -136,17 +160,18 @@
 
 // StoreAge returns the time since the latest contact of any router with the
 // store that this router knows of.
-func (m *Machine) StoreAge(now time.Time) (time.Duration, bool) {
+func (m *Table) StoreAge(now time.Time) (time.Duration, bool) {
 	if m.storeContact.IsZero() {
 		return 0, false
 	}
 	return max(0, now.Sub(m.storeContact)), true
 }
 
-func (m *Machine) storeAgeMS(now time.Time) int64 {
+// StoreAgeMS returns StoreAge in milliseconds, or NeverAge.
+func (m *Table) StoreAgeMS(now time.Time) int64 {
 	age, ok := m.StoreAge(now)
 	if !ok {
-		return neverAge
+		return NeverAge
 	}
 	return age.Milliseconds()
 }
--- a/gossiper/view.go
+++ b/disseminator/view.go
@@ -1,4 +1,4 @@
-package gossiper
+package disseminator
 
 import (
 	"slices"
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,3 +1,6 @@
+// Package gossiper runs the membership of the router fleet (D11 of
+// docs/design.md) over bergamotdale.Peer. The detector is the state machine;
+// the disseminator holds what it knows.
 package gossiper
 
 import (
@@ -10,8 +13,43 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/detector"
+	"github.com/bergamotdale/bergamotdale/disseminator"
 )
 
+// The types of other packages that users of this package need.
+type (
+	// Config holds the timing of the protocol.
+	Config = detector.Config
+	// View is an immutable snapshot of the fleet.
+	View = disseminator.View
+	// RumourEntry is a rumour with its local expiry.
+	RumourEntry = disseminator.RumourEntry
+	// Stats holds counters since the start.
+	Stats = detector.Stats
+	// PingRequest is a probe; the response is a PingResponse.
+	PingRequest = detector.PingRequest
+	// PingResponse acknowledges a probe.
+	PingResponse = detector.PingResponse
+	// IndirectRequest asks for a probe of a third router; the response is an
+	// IndirectResponse.
+	IndirectRequest = detector.IndirectRequest
+	// IndirectResponse tells whether the third router responded.
+	IndirectResponse = detector.IndirectResponse
+)
+
+const (
+	// PingPath is the path of a PingRequest below /peer/v1/.
+	PingPath = detector.PingPath
+	// IndirectPath is the path of an IndirectRequest.
+	IndirectPath = detector.IndirectPath
+)
+
+// DefaultConfig returns the timing in use.
+func DefaultConfig() Config {
+	return detector.DefaultConfig()
+}
+
 const (
 	// tickInterval is the resolution of the timers of the machine.
 	tickInterval = 100 * time.Millisecond
@@ -31,7 +69,7 @@
 
 	mu sync.Mutex
 	// machine is guarded by mu.
-	machine     *Machine
+	machine     *detector.Machine
 	subscribers []chan struct{}
 	view        atomic.Pointer[View]
 	sends       sync.WaitGroup
@@ -43,7 +81,7 @@
 	g := &Gossiper{
 		Clock:   clock,
 		Logger:  zap.NewNop(),
-		machine: NewMachine(config, self, rand.Uint64(), clock.Now()),
+		machine: detector.NewMachine(config, self, rand.Uint64(), clock.Now()),
 	}
 	g.view.Store(g.machine.View())
 	return g
@@ -74,27 +112,29 @@
 // Spread makes a rumour known to the fleet. A rumour whose version is not
 // above the known one of its key is ignored.
 func (g *Gossiper) Spread(key, value string, version int64, ttl time.Duration) {
-	g.change(func(m *Machine, now time.Time) { m.Spread(now, key, value, version, ttl) })
+	g.change(func(m *detector.Machine, now time.Time) { m.Spread(now, key, value, version, ttl) })
 }
 
 // SetDraining marks the router as draining: it takes no new ownership.
 func (g *Gossiper) SetDraining() {
-	g.change(func(m *Machine, now time.Time) { m.SetDraining(now) })
+	g.change(func(m *detector.Machine, now time.Time) { m.SetDraining() })
 }
 
 // Leave marks the router as left and tells a few members directly.
 func (g *Gossiper) Leave(ctx context.Context) {
-	var sends []Send
-	g.change(func(m *Machine, now time.Time) { sends = m.Leave(now) })
+	var sends []detector.Send
+	g.change(func(m *detector.Machine, now time.Time) { sends = m.Leave(now) })
+	// Not g.sends, which ends only with Run.
+	var notices sync.WaitGroup
 	for _, s := range sends {
-		g.sends.Go(func() { g.exchange(ctx, s) })
+		notices.Go(func() { g.exchange(ctx, s) })
 	}
-	g.sends.Wait()
+	notices.Wait()
 }
 
 // SetStoreContact records a successful call of the store by this router.
 func (g *Gossiper) SetStoreContact(at time.Time) {
-	g.change(func(m *Machine, now time.Time) { m.SetStoreContact(at) })
+	g.change(func(m *detector.Machine, now time.Time) { m.SetStoreContact(at) })
 }
 
 // StoreAge returns the time since the latest contact of any router with the
@@ -108,17 +148,17 @@
 // HandlePing responds to a probe.
 func (g *Gossiper) HandlePing(r PingRequest) PingResponse {
 	var response PingResponse
-	g.change(func(m *Machine, now time.Time) { response = m.HandlePing(now, r) })
+	g.change(func(m *detector.Machine, now time.Time) { response = m.HandlePing(now, r) })
 	return response
 }
 
 // HandleIndirect probes the target of the request and reports the result.
 func (g *Gossiper) HandleIndirect(ctx context.Context, r IndirectRequest) IndirectResponse {
-	var send Send
-	g.change(func(m *Machine, now time.Time) { send = m.HandleIndirect(now, r) })
+	var send detector.Send
+	g.change(func(m *detector.Machine, now time.Time) { send = m.HandleIndirect(now, r) })
 	result := g.call(ctx, send)
 	var response IndirectResponse
-	g.change(func(m *Machine, now time.Time) { response = m.FinishIndirect(now, r, result) })
+	g.change(func(m *detector.Machine, now time.Time) { response = m.FinishIndirect(now, r, result) })
 	return response
 }
 
@@ -128,8 +168,8 @@
 	lists := make(chan []bergamotdale.VM, 1)
 	g.sends.Go(func() { g.readLists(ctx, lists) })
 	for {
-		var sends []Send
-		g.change(func(m *Machine, now time.Time) { sends = m.Tick(now) })
+		var sends []detector.Send
+		g.change(func(m *detector.Machine, now time.Time) { sends = m.Tick(now) })
 		for _, s := range sends {
 			g.sends.Go(func() { g.exchange(ctx, s) })
 		}
@@ -137,7 +177,7 @@
 		case <-ctx.Done():
 			return nil
 		case vms := <-lists:
-			g.change(func(m *Machine, now time.Time) { m.SetSeeds(vms) })
+			g.change(func(m *detector.Machine, now time.Time) { m.SetSeeds(vms) })
 		case <-g.Clock.After(tickInterval):
 		}
 	}
@@ -162,11 +202,11 @@
 }
 
 // exchange sends a message and the messages that follow from its result.
-func (g *Gossiper) exchange(ctx context.Context, s Send) {
-	for pending := []Send{s}; len(pending) > 0 && ctx.Err() == nil; {
+func (g *Gossiper) exchange(ctx context.Context, s detector.Send) {
+	for pending := []detector.Send{s}; len(pending) > 0 && ctx.Err() == nil; {
 		result := g.call(ctx, pending[0])
-		var next []Send
-		g.change(func(m *Machine, now time.Time) { next = m.Finish(now, result) })
+		var next []detector.Send
+		g.change(func(m *detector.Machine, now time.Time) { next = m.Finish(now, result) })
 		pending = pending[1:]
 		for _, n := range next {
 			g.sends.Go(func() { g.exchange(ctx, n) })
@@ -175,21 +215,21 @@
 }
 
 // call sends one message and returns its result.
-func (g *Gossiper) call(ctx context.Context, s Send) Result {
+func (g *Gossiper) call(ctx context.Context, s detector.Send) detector.Result {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	result := Result{Send: s}
+	result := detector.Result{Send: s}
 	switch s.Kind {
-	case SendPing:
+	case detector.SendPing:
 		result.Err = g.Peer.Call(ctx, s.Address, PingPath, s.Ping, &result.Ping)
-	case SendIndirect:
+	case detector.SendIndirect:
 		result.Err = g.Peer.Call(ctx, s.Address, IndirectPath, s.Indirect, &result.Indirect)
 	}
 	return result
 }
 
 // change applies f to the machine and publishes the view if it has changed.
-func (g *Gossiper) change(f func(m *Machine, now time.Time)) {
+func (g *Gossiper) change(f func(m *detector.Machine, now time.Time)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.machine, g.Clock.Now())
--- a/gossiper/queue.go
+++ b/spreader/spreader.go
@@ -1,15 +1,15 @@
-package gossiper
+// Package spreader chooses which updates a message carries. Each update is
+// carried a number of times that grows with the logarithm of the fleet size,
+// so that it reaches all routers with high probability.
+package spreader
 
 import (
 	"cmp"
 	"math"
 	"slices"
-	"strings"
 )
 
 const (
-	memberPrefix = "m/"
-	rumourPrefix = "r/"
 	// extraRetransmits is added to the binary logarithm of the fleet size,
 	// which gives the messages of one router that carry an update. Without
 	// the extra ones, one router in a few dozen misses each update.
@@ -18,18 +18,10 @@
 	freshTransmits = 3
 )
 
-func memberKey(id string) string {
-	return memberPrefix + id
-}
-
-func rumourKey(key string) string {
-	return rumourPrefix + key
-}
-
-// queue holds the keys of what has changed, each with the number of messages
+// Queue holds the keys of what has changed, each with the number of messages
 // that carried it. The values are read when a message is built, so a queued
 // update is never older than the record.
-type queue struct {
+type Queue struct {
 	items []queued
 	order uint64
 }
@@ -40,19 +32,20 @@
 	order uint64
 }
 
-// add queues a change of the key, with a new count.
-func (q *queue) add(key string) {
-	q.remove(key)
+// Add queues a change of the key, with a new count.
+func (q *Queue) Add(key string) {
+	q.Remove(key)
 	q.order++
 	q.items = append(q.items, queued{key: key, order: q.order})
 }
 
-func (q *queue) remove(key string) {
+// Remove drops the key.
+func (q *Queue) Remove(key string) {
 	q.items = slices.DeleteFunc(q.items, func(i queued) bool { return i.key == key })
 }
 
-// skip counts the key as carried n times already.
-func (q *queue) skip(key string, n int) {
+// Skip counts the key as carried n times already.
+func (q *Queue) Skip(key string, n int) {
 	for i := range q.items {
 		if q.items[i].key == key {
 			q.items[i].sent += n
@@ -60,10 +53,10 @@
 	}
 }
 
-// take returns up to n keys, those carried least often first and the newest
+// Take returns up to n keys, those carried least often first and the newest
 // first among them, and counts them as carried. Keys in except are left for
 // other messages.
-func (q *queue) take(n, members int, except map[string]bool) []string {
+func (q *Queue) Take(n, members int, except map[string]bool) []string {
 	if len(q.items) == 0 {
 		return nil
 	}
@@ -80,25 +73,17 @@
 			q.items[i].sent++
 		}
 	}
-	limit := retransmits(members)
+	limit := Retransmits(members)
 	q.items = slices.DeleteFunc(q.items, func(i queued) bool { return i.sent >= limit })
 	return keys
 }
 
-// retransmits returns the number of messages that carry an update.
-func retransmits(members int) int {
+// Retransmits returns the number of messages that carry an update.
+func Retransmits(members int) int {
 	return extraRetransmits + int(math.Ceil(math.Log2(float64(members+1))))
 }
 
-// fresh reports whether few messages have carried some key.
-func (q *queue) fresh() bool {
+// Fresh reports whether few messages have carried some key.
+func (q *Queue) Fresh() bool {
 	return slices.ContainsFunc(q.items, func(i queued) bool { return i.sent < freshTransmits })
 }
-
-// split returns the member ID or the rumour key in a queue key.
-func split(key string) (id string, rumour bool) {
-	if rest, ok := strings.CutPrefix(key, rumourPrefix); ok {
-		return rest, true
-	}
-	return strings.TrimPrefix(key, memberPrefix), false
-}
