--- a/fleettester/fleet.go
+++ b/fleettester/fleet.go
@@ -17,9 +17,9 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/detector"
 	"github.com/bergamotdale/bergamotdale/engineserver"
 	"github.com/bergamotdale/bergamotdale/follower"
-	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/injector"
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/peerclient"
@@ -258,7 +258,7 @@
 	for _, r := range f.routers {
 		vms = append(vms, bergamotdale.VM{
 			Name: r.Name, Address: r.Settings.Listen.Peers, FailureDomain: r.Settings.FailureDomain,
-			Role: gossiper.RouterRole, State: bergamotdale.VMLive,
+			Role: detector.RouterRole, State: bergamotdale.VMLive,
 		})
 	}
 	for _, e := range f.engines {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/gossiper"
+	"github.com/bergamotdale/bergamotdale/detector"
 )
 
 // VMs is the list of VMs as last read. It serves the gossiper too, so that a
@@ -94,7 +94,7 @@
 	vms := append([]bergamotdale.VM(nil), w.vms...)
 	for _, seed := range w.Seeds {
 		vms = append(vms, bergamotdale.VM{
-			Name: seed, Address: seed, Role: gossiper.RouterRole, State: bergamotdale.VMLive,
+			Name: seed, Address: seed, Role: detector.RouterRole, State: bergamotdale.VMLive,
 		})
 	}
 	return vms
@@ -112,6 +112,6 @@
 // Routers returns the addresses of the other routers in the list.
 func (w *VMs) Routers(except string) []string {
 	return lo.Uniq(lo.FilterMap(w.known(), func(vm bergamotdale.VM, _ int) (string, bool) {
-		return vm.Address, vm.Role == gossiper.RouterRole && vm.Address != except
+		return vm.Address, vm.Role == detector.RouterRole && vm.Address != except
 	}))
 }
