--- a/committer/model_test.go
+++ b/committer/model_test.go
@@ -17,6 +17,9 @@
 	"github.com/bergamotdale/bergamotdale/storetester"
 )
 
+// modelKeys fill more than one segment of the size that the model uses.
+var modelKeys = []string{"a", "b", "c", "d"}
+
 // fault is what happens to one write of the store.
 type fault string
 
@@ -70,6 +73,15 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+// wait blocks for a time. It makes no timer that is due at once: with -race,
+// Go 1.26.8 crashed in runtime.(*timer).maybeRunChan when it received from such
+// a timer inside a bubble.
+func (w *world) wait(d time.Duration) {
+	if d > 0 {
+		<-w.clock.After(d)
+	}
+}
+
 func (w *world) nextFault() fault {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -209,7 +221,7 @@
 		Owner:        p.name,
 		Store:        faultyStore{w.store, p},
 		Clock:        w.clock,
-		SegmentBytes: 700,
+		SegmentBytes: 250,
 		CallTimeout:  30 * time.Second,
 		Held: func() bool {
 			w.lock.Lock()
@@ -250,7 +262,7 @@
 		if p.blocked() != nil {
 			return bergamotdale.ServiceResponse{}, lost
 		}
-		<-w.clock.After(delay)
+		w.wait(delay)
 		w.lock.Lock()
 		if b == refuses {
 			w.lock.Unlock()
@@ -271,7 +283,7 @@
 		}
 		w.responses[key] = body
 		w.lock.Unlock()
-		<-w.clock.After(delay)
+		w.wait(delay)
 		if b == losesAnswer || p.blocked() != nil {
 			return bergamotdale.ServiceResponse{}, lost
 		}
@@ -362,7 +374,7 @@
 	drawProcess := func() int { return rapid.IntRange(0, 1).Draw(t, "process") }
 	actions := map[string]func(*rapid.T){
 		"request": func(t *rapid.T) {
-			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			key := rapid.SampledFrom(modelKeys).Draw(t, "key")
 			b := rapid.SampledFrom([]behaviour{
 				responds, responds, responds, refuses, losesEffect, losesAnswer, respondsLong,
 			}).Draw(t, "behaviour")
@@ -415,7 +427,7 @@
 	}
 	<-w.clock.After(10 * time.Second)
 	w.open(last)
-	for _, key := range []string{"a", "b", "c", "new"} {
+	for _, key := range append([]string{"new"}, modelKeys...) {
 		w.request(last, key, responds, 0, time.Minute)
 	}
 	<-w.clock.After(time.Minute)
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -24,6 +24,9 @@
 	// overloadRetry is when a client may retry while every engine of the group
 	// is at its bound.
 	overloadRetry = time.Second
+	// remainingTTL is how long a count of the previous owner holds without
+	// another one. A router that is gone for so long has lost its connections.
+	remainingTTL = 5 * time.Second
 	// idleTick is how often an admission looks at its queue without an event.
 	idleTick = 250 * time.Millisecond
 )
@@ -31,6 +34,7 @@
 // admission is the queue and the running set of one owned engine.
 type admission struct {
 	dispatcher *Dispatcher
+	name       string
 	stop       context.CancelFunc
 	wake       chan struct{}
 
@@ -50,7 +54,12 @@
 	// of earlier admissions included.
 	atEngine *atomic.Int64
 	released bool
-	crash    crashWatch
+	// refusedUntil is when the engine, which has refused a request, may be asked
+	// again. Without it every request would cost a retry.
+	refusedUntil time.Time
+	// remainingUntil is when the count of the previous owner expires.
+	remainingUntil time.Time
+	crash          crashWatch
 }
 
 // newAdmission starts the admission of an engine that this router now owns.
@@ -58,6 +67,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &admission{
 		dispatcher: d,
+		name:       assignment.Name,
 		stop:       cancel,
 		wake:       make(chan struct{}, 1),
 		queue:      scheduler.New(scheduler.Config{Classes: policy.Classes}),
@@ -116,6 +126,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.dispatcher.Clock.Now()
+	if now.After(a.remainingUntil) {
+		a.ownership.SetRemaining(0)
+	}
 	for _, refused := range a.queue.Expire(now) {
 		a.refuse(refused)
 	}
@@ -201,6 +214,10 @@
 				To(bergamotdale.Redirect{Endpoint: other})
 		}
 	}
+	if wait := a.refusedUntil.Sub(a.dispatcher.Clock.Now()); wait > 0 {
+		return bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%s refuses work", c.Endpoint).After(wait).
+			To(bergamotdale.Redirect{Endpoint: a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)})
+	}
 	mean, known := a.dispatcher.Loads.Mean(c.Model)
 	if known && !a.policy.Bound.Admits(mean, a.queue.Load()) {
 		return a.overloaded(c, mean)
@@ -340,6 +357,9 @@
 	address := a.assignment.Address
 	a.mu.Unlock()
 	load, err := a.dispatcher.Engine.Load(ctx, address)
+	if err == nil && load.Draining {
+		a.dispatcher.Draining(a.name)
+	}
 	now := a.dispatcher.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -392,12 +412,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ownership.Confirm(h.Running)
+	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
 	for key, endpoint := range h.Overrides {
 		a.overrides.PutKey(key, endpoint)
 	}
 	a.signal()
 }
 
+// setRemaining applies a count of the previous owner.
+func (a *admission) setRemaining(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ownership.SetRemaining(n)
+	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
+	a.signal()
+}
+
 // record adds an event of a request to the timeline.
 func (a *admission) record(j *job, kind, detail string) {
 	a.dispatcher.Recorder.Record(bergamotdale.Event{
--- a/engineserver/execution.go
+++ b/engineserver/execution.go
@@ -48,6 +48,7 @@
 		return
 	}
 	e.remember()
+	e.server.finish(e.run)
 	e.out.End(usage)
 }
 
@@ -87,7 +88,7 @@
 	prompt := e.req.PromptTokens()
 	hit := e.server.cache.Lookup(e.req.Prefixes)
 	missing := prompt - hit + e.req.ResumeFrom
-	if e.server.stats.kept(e.req.ID) >= e.req.ResumeFrom {
+	if e.server.batch.Kept(e.req.ID) >= e.req.ResumeFrom {
 		missing -= e.req.ResumeFrom
 	}
 	d := time.Duration(float64(missing) / e.server.PrefillRate * float64(time.Second))
--- a/router/view.go
+++ b/router/view.go
@@ -14,8 +14,12 @@
 	"github.com/bergamotdale/bergamotdale/validator"
 )
 
-// drainingPrefix starts the rumours that mark endpoints as draining.
-const drainingPrefix = "draining/"
+const (
+	// drainingPrefix starts the rumours that mark endpoints as draining.
+	drainingPrefix = "draining/"
+	// drainingTTL is how long a mark holds after the last report.
+	drainingTTL = 30 * time.Second
+)
 
 // view is what the request paths of a router read. It never changes; control
 // replaces it.
@@ -92,12 +96,23 @@
 	for _, rumour := range r.gossiper.View().Rumours(drainingPrefix, now) {
 		draining[rumour.Key[len(drainingPrefix):]] = true
 	}
-	for _, vm := range r.vms.draining() {
+	for _, vm := range r.vms.Draining() {
 		draining[vm] = true
 	}
 	return draining
 }
 
+// markDraining tells the fleet that an engine has reported that it is draining.
+// The mark is renewed while the engine reports it.
+func (r *Router) markDraining(endpoint string) {
+	now := r.clock.Now()
+	key := drainingPrefix + endpoint
+	if mark, ok := r.gossiper.View().Rumour(key, now); ok && mark.Expires.Sub(now) > drainingTTL/2 {
+		return
+	}
+	r.gossiper.Spread(key, r.self.ID, now.UnixMilli(), drainingTTL)
+}
+
 // directory is the view as the forwarder needs it.
 type directory struct {
 	router *Router
