admitter, inspector: split from dispatcher

Change: admitter holds the admission of one engine, inspector tells crashes apart, dispatcher keeps the map of admissions and readers. A refused item's response is made in one place, scheduler.Refused.Refusal.

--- a/dispatcher/admission.go
+++ b/admitter/admission.go
@@ -1,4 +1,4 @@
-package dispatcher
+package admitter
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/inspector"
 	"github.com/bergamotdale/bergamotdale/limiter"
 	"github.com/bergamotdale/bergamotdale/placer"
 	"github.com/bergamotdale/bergamotdale/replayer"
@@ -31,12 +32,13 @@
 	idleTick = 250 * time.Millisecond
 )
 
-// admission is the queue and the running set of one owned engine.
-type admission struct {
-	dispatcher *Dispatcher
-	name       string
-	stop       context.CancelFunc
-	wake       chan struct{}
+// Admission is the queue and the running set of one owned engine. Its methods
+// may be called concurrently.
+type Admission struct {
+	env  *Environment
+	name string
+	stop context.CancelFunc
+	wake chan struct{}
 
 	mu         sync.Mutex
 	assignment Assignment
@@ -59,37 +61,38 @@
 	refusedUntil time.Time
 	// remainingUntil is when the count of the previous owner expires.
 	remainingUntil time.Time
-	crash          crashWatch
+	inspector      inspector.Inspector
 }
 
-// newAdmission starts the admission of an engine that this router now owns.
-func newAdmission(d *Dispatcher, policy *Policy, assignment Assignment) *admission {
-	ctx, cancel := context.WithCancel(d.ctx)
-	a := &admission{
-		dispatcher: d,
-		name:       assignment.Name,
-		stop:       cancel,
-		wake:       make(chan struct{}, 1),
-		queue:      scheduler.New(scheduler.Config{Classes: policy.Classes}),
+// New starts the admission of an engine that this router now owns. atEngine
+// counts the requests that the router runs there, from earlier admissions too.
+func New(env *Environment, policy *Policy, assignment Assignment, atEngine *atomic.Int64) *Admission {
+	ctx, cancel := context.WithCancel(env.Context)
+	a := &Admission{
+		env:   env,
+		name:  assignment.Name,
+		stop:  cancel,
+		wake:  make(chan struct{}, 1),
+		queue: scheduler.New(scheduler.Config{Classes: policy.Classes}),
 		limit: limiter.NewConcurrency(limiter.ConcurrencyConfig{
 			Max:             assignment.MaxConcurrency,
 			Initial:         assignment.MaxConcurrency,
 			TargetTokenTime: policy.TargetTokenTime,
 		}),
-		ownership: limiter.NewOwnership(d.Clock.Now()),
+		ownership: limiter.NewOwnership(env.Clock.Now()),
 		overrides: placer.NewOverrides(overrideBytes),
 		jobs:      map[string]*job{},
 		current:   map[string]*job{},
-		atEngine:  d.counter(assignment.Name),
+		atEngine:  atEngine,
 	}
-	a.update(policy, assignment)
+	a.Update(policy, assignment)
 	go a.run(ctx)
 	go a.poll(ctx)
 	return a
 }
 
-// update applies a new configuration or a new standing of the ownership.
-func (a *admission) update(policy *Policy, assignment Assignment) {
+// Update applies a new configuration or a new standing of the ownership.
+func (a *Admission) Update(policy *Policy, assignment Assignment) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.policy = policy
@@ -101,7 +104,7 @@
 }
 
 // signal makes run look at the queue.
-func (a *admission) signal() {
+func (a *Admission) signal() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -109,12 +112,12 @@
 }
 
 // run starts, preempts and expires requests whenever something has changed.
-func (a *admission) run(ctx context.Context) {
+func (a *Admission) run(ctx context.Context) {
 	for {
 		a.step()
 		select {
 		case <-a.wake:
-		case <-a.dispatcher.Clock.After(idleTick):
+		case <-a.env.Clock.After(idleTick):
 		case <-ctx.Done():
 			return
 		}
@@ -122,17 +125,17 @@
 }
 
 // step applies one decision of the queue.
-func (a *admission) step() {
+func (a *Admission) step() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.dispatcher.Clock.Now()
+	now := a.env.Clock.Now()
 	if now.After(a.remainingUntil) {
 		a.ownership.SetRemaining(0)
 	}
 	for _, refused := range a.queue.Expire(now) {
 		a.refuse(refused)
 	}
-	a.ownership.SetExpired(a.dispatcher.Ownership.Expired())
+	a.ownership.SetExpired(a.env.Ownership.Expired())
 	a.queue.SetLimit(now, a.slots())
 	decision := a.queue.Next(now)
 	for _, item := range decision.Preempt {
@@ -146,8 +149,8 @@
 
 // slots returns how many requests may run now. While the engine is handed over
 // none is started: the next owner was told how many run.
-func (a *admission) slots() int {
-	if a.released || !a.dispatcher.Ownership.Admits(a.assignment.Name) {
+func (a *Admission) slots() int {
+	if a.released || !a.env.Ownership.Admits(a.assignment.Name) {
 		return 0
 	}
 	return max(0, a.ownership.Limit(a.limit.Limit())-a.earlier())
@@ -155,12 +158,12 @@
 
 // earlier returns the requests that this router still runs at the engine from
 // the time of an earlier ownership.
-func (a *admission) earlier() int {
+func (a *Admission) earlier() int {
 	return int(a.atEngine.Load()) - a.queue.Running()
 }
 
-// admit queues a completion, or refuses it at once.
-func (a *admission) admit(c bergamotdale.Completion) error {
+// Admit queues a completion, or refuses it at once.
+func (a *Admission) Admit(c bergamotdale.Completion) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.check(c); err != nil {
@@ -170,43 +173,43 @@
 	if err != nil {
 		return err
 	}
-	buffer, err := a.dispatcher.Replayer.Open(c.StreamID(), position)
+	buffer, err := a.env.Replayer.Open(c.StreamID(), position)
 	if err != nil {
 		return bergamotdale.Refuse(bergamotdale.CodeInProgress, "the request is running").
 			WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
 	}
 	j := a.newJob(c, buffer)
-	now := a.dispatcher.Clock.Now()
+	now := a.env.Clock.Now()
 	for _, refused := range a.queue.Push(now, a.item(j)) {
 		a.refuse(refused)
 		if refused.Item.ID == j.item {
-			return refusal(refused)
+			return refused.Refusal()
 		}
 	}
 	a.record(j, "request-queued", "")
-	a.dispatcher.Loads.Changed()
+	a.env.Loads.Changed()
 	a.signal()
 	return nil
 }
 
 // newJob registers a job. The caller holds mu.
-func (a *admission) newJob(c bergamotdale.Completion, buffer *replayer.Buffer) *job {
+func (a *Admission) newJob(c bergamotdale.Completion, buffer *replayer.Buffer) *job {
 	a.sequence++
 	j := &job{completion: c, buffer: buffer, id: c.StreamID(), item: fmt.Sprintf("%s#%d", c.StreamID(), a.sequence)}
 	a.jobs[j.item] = j
 	a.current[j.id] = j
-	a.dispatcher.jobs.Add(1)
+	a.env.Jobs.Add(1)
 	return j
 }
 
 // check refuses a completion that must not be queued here.
-func (a *admission) check(c bergamotdale.Completion) error {
+func (a *Admission) check(c bergamotdale.Completion) error {
 	switch {
-	case a.released, !a.dispatcher.Ownership.Admits(c.Endpoint):
+	case a.released, !a.env.Ownership.Admits(c.Endpoint):
 		return bergamotdale.Refuse(bergamotdale.CodeNotOwner, "this router no longer owns %s", c.Endpoint)
 	case a.assignment.Draining:
 		return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "%s is draining", c.Endpoint).
-			To(bergamotdale.Redirect{Endpoint: a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)})
+			To(bergamotdale.Redirect{Endpoint: a.env.Loads.LeastLoaded(c.Model, c.Endpoint)})
 	}
 	if c.Attempt == 0 {
 		if other, ok := a.overrides.Get(c.Chat); ok && other != c.Endpoint {
@@ -214,11 +217,11 @@
 				To(bergamotdale.Redirect{Endpoint: other})
 		}
 	}
-	if wait := a.refusedUntil.Sub(a.dispatcher.Clock.Now()); wait > 0 {
+	if wait := a.refusedUntil.Sub(a.env.Clock.Now()); wait > 0 {
 		return bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%s refuses work", c.Endpoint).After(wait).
-			To(bergamotdale.Redirect{Endpoint: a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)})
+			To(bergamotdale.Redirect{Endpoint: a.env.Loads.LeastLoaded(c.Model, c.Endpoint)})
 	}
-	mean, known := a.dispatcher.Loads.Mean(c.Model)
+	mean, known := a.env.Loads.Mean(c.Model)
 	if known && !a.policy.Bound.Admits(mean, a.queue.Load()) {
 		return a.overloaded(c, mean)
 	}
@@ -227,11 +230,11 @@
 
 // overloaded refuses a completion because of the load bound. It remembers
 // where it sent the chat, so that the chat finds its cache when it returns.
-func (a *admission) overloaded(c bergamotdale.Completion, mean placer.Mean) error {
+func (a *Admission) overloaded(c bergamotdale.Completion, mean placer.Mean) error {
 	refusal := bergamotdale.Refuse(bergamotdale.CodeOverloaded,
 		"%s is at its load bound: it has %d requests, its group %d on %d engines %s ago",
 		c.Endpoint, a.queue.Load(), mean.Load, mean.Engines, mean.Age).After(overloadRetry)
-	other := a.dispatcher.Loads.LeastLoaded(c.Model, c.Endpoint)
+	other := a.env.Loads.LeastLoaded(c.Model, c.Endpoint)
 	if other == "" {
 		return refusal
 	}
@@ -240,7 +243,7 @@
 }
 
 // item returns what the scheduler needs to know of a completion.
-func (a *admission) item(j *job) scheduler.Item {
+func (a *Admission) item(j *job) scheduler.Item {
 	c := j.completion
 	class, ok := a.policy.ClassIndex[c.PriorityClass]
 	if !ok {
@@ -258,33 +261,24 @@
 }
 
 // refuse ends a request that the queue has given up on, at once.
-func (a *admission) refuse(refused scheduler.Refused) {
+func (a *Admission) refuse(refused scheduler.Refused) {
 	j := a.jobs[refused.Item.ID]
 	if j == nil {
 		return
 	}
-	r := refusal(refused)
+	r := refused.Refusal()
 	a.record(j, "request-refused", r.Message)
 	a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset, r))
 }
 
-// refusal returns the final response to an item that left the queue.
-func refusal(refused scheduler.Refused) *bergamotdale.Refusal {
-	r := bergamotdale.Refuse(refused.Code, "the queue of the priority class is too long").After(refused.RetryAfter)
-	if refused.Item.Offset > 0 {
-		return r.WithOutcome(bergamotdale.OutcomeUnknown)
-	}
-	return r
-}
-
 // finish writes the last frame of a request without a slot and forgets it.
-func (a *admission) finish(j *job, last bergamotdale.Frame) {
+func (a *Admission) finish(j *job, last bergamotdale.Frame) {
 	a.closeBuffer(j, last)
 	a.forget(j)
 }
 
 // closeBuffer writes the last frame of a request.
-func (a *admission) closeBuffer(j *job, last bergamotdale.Frame) {
+func (a *Admission) closeBuffer(j *job, last bergamotdale.Frame) {
 	j.closed = true
 	if err := j.buffer.Append(last); err != nil {
 		j.buffer.Cut(err)
@@ -292,18 +286,18 @@
 }
 
 // forget removes a request whose buffer has ended and which has no slot.
-func (a *admission) forget(j *job) {
+func (a *Admission) forget(j *job) {
 	delete(a.jobs, j.item)
 	if a.current[j.id] == j {
 		delete(a.current, j.id)
 	}
-	a.dispatcher.jobs.Done()
-	a.dispatcher.Loads.Changed()
+	a.env.Jobs.Done()
+	a.env.Loads.Changed()
 	a.signal()
 }
 
-// cancel ends a request whose client has gone.
-func (a *admission) cancel(id string) {
+// Cancel ends a request whose client has gone.
+func (a *Admission) Cancel(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	j := a.current[id]
@@ -315,19 +309,19 @@
 		j.stop()
 		return
 	}
-	a.queue.Cancel(a.dispatcher.Clock.Now(), j.item)
+	a.queue.Cancel(a.env.Clock.Now(), j.item)
 	j.closed = true
 	j.buffer.Cut(context.Canceled)
 	a.forget(j)
 }
 
-// release ends the admission after the engine got another owner. Waiting
+// Release ends the admission after the engine got another owner. Waiting
 // requests are sent there; running ones finish here.
-func (a *admission) release() {
+func (a *Admission) Release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.released = true
-	now := a.dispatcher.Clock.Now()
+	now := a.env.Clock.Now()
 	for item, j := range a.jobs {
 		if j.running {
 			continue
@@ -340,31 +334,31 @@
 }
 
 // poll reads load reports of the engine.
-func (a *admission) poll(ctx context.Context) {
+func (a *Admission) poll(ctx context.Context) {
 	for {
 		a.readLoad(ctx)
-		if bergamotdale.Wait(ctx, a.dispatcher.Clock, a.dispatcher.PollInterval) != nil {
+		if bergamotdale.Wait(ctx, a.env.Clock, a.env.PollInterval) != nil {
 			return
 		}
 	}
 }
 
 // readLoad applies one load report.
-func (a *admission) readLoad(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, a.dispatcher.PollInterval)
+func (a *Admission) readLoad(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.env.PollInterval)
 	defer cancel()
 	a.mu.Lock()
 	address := a.assignment.Address
 	a.mu.Unlock()
-	load, err := a.dispatcher.Engine.Load(ctx, address)
+	load, err := a.env.Engine.Load(ctx, address)
 	if err == nil && load.Draining {
-		a.dispatcher.Draining(a.name)
+		a.env.Draining(a.name)
 	}
-	now := a.dispatcher.Clock.Now()
+	now := a.env.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
-		a.dispatcher.Logger.Debug("no load report", zap.String("endpoint", a.assignment.Name), zap.Error(err))
+		a.env.Logger.Debug("no load report", zap.String("endpoint", a.assignment.Name), zap.Error(err))
 		return
 	}
 	report := limiter.Report{
@@ -377,13 +371,14 @@
 	claimed := a.ownership.Standing() == limiter.StandingClaimed
 	a.ownership.Report(report)
 	if claimed && a.ownership.Standing() == limiter.StandingConfirmed {
-		a.dispatcher.Ownership.Confirmed(a.assignment.Name, a.assignment.Epoch)
+		a.env.Ownership.Confirmed(a.assignment.Name, a.assignment.Epoch)
 	}
-	a.noteIncarnation(load.Incarnation)
+	a.reportCrash(a.inspector.Responded(now, load.Incarnation))
 	a.signal()
 }
 
-func (a *admission) report() Load {
+// Report returns the load of the engine.
+func (a *Admission) Report() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return Load{
@@ -395,8 +390,8 @@
 	}
 }
 
-// handover returns the state for the next owner.
-func (a *admission) handover() Handover {
+// Handover returns the state for the next owner.
+func (a *Admission) Handover() Handover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	h := Handover{Overrides: make(map[uint64]string, a.overrides.Len()), Running: int(a.atEngine.Load())}
@@ -407,31 +402,31 @@
 	return h
 }
 
-// receive applies the state of the previous owner.
-func (a *admission) receive(h Handover) {
+// Receive applies the state of the previous owner.
+func (a *Admission) Receive(h Handover) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ownership.Confirm(h.Running)
-	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
+	a.remainingUntil = a.env.Clock.Now().Add(remainingTTL)
 	for key, endpoint := range h.Overrides {
 		a.overrides.PutKey(key, endpoint)
 	}
 	a.signal()
 }
 
-// setRemaining applies a count of the previous owner.
-func (a *admission) setRemaining(n int) {
+// SetRemaining applies a count of the previous owner.
+func (a *Admission) SetRemaining(n int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ownership.SetRemaining(n)
-	a.remainingUntil = a.dispatcher.Clock.Now().Add(remainingTTL)
+	a.remainingUntil = a.env.Clock.Now().Add(remainingTTL)
 	a.signal()
 }
 
 // record adds an event of a request to the timeline.
-func (a *admission) record(j *job, kind, detail string) {
-	a.dispatcher.Recorder.Record(bergamotdale.Event{
-		Time:      a.dispatcher.Clock.Now(),
+func (a *Admission) record(j *job, kind, detail string) {
+	a.env.Recorder.Record(bergamotdale.Event{
+		Time:      a.env.Clock.Now(),
 		Kind:      kind,
 		RequestID: j.completion.RequestID,
 		Chat:      j.completion.Chat,
--- a/dispatcher/job.go
+++ b/admitter/job.go
@@ -1,4 +1,4 @@
-package dispatcher
+package admitter
 
 import (
 	"context"
@@ -65,17 +65,17 @@
 
 // start runs a request at the engine. A suspect of a crash waits while another
 // suspect runs there.
-func (a *admission) start(now time.Time, item scheduler.Item) {
+func (a *Admission) start(now time.Time, item scheduler.Item) {
 	j := a.jobs[item.ID]
 	if j == nil {
 		a.queue.Done(now, item.ID)
 		return
 	}
-	if !a.dispatcher.Quarantine.MayRun(j.completion.Fingerprint, a.runningFingerprints()) {
+	if !a.env.Quarantine.MayRun(j.completion.Fingerprint, a.runningFingerprints()) {
 		a.queue.Preempted(now, j.item, j.buffer.Position().Offset)
 		return
 	}
-	ctx, cancel := context.WithCancel(a.dispatcher.ctx)
+	ctx, cancel := context.WithCancel(a.env.Context)
 	j.stop = cancel
 	j.running = true
 	j.started = now
@@ -86,7 +86,7 @@
 
 // runningFingerprints returns the fingerprints of the requests that run at the
 // engine now.
-func (a *admission) runningFingerprints() []string {
+func (a *Admission) runningFingerprints() []string {
 	running := make([]string, 0, len(a.jobs))
 	for _, j := range a.jobs {
 		if j.running {
@@ -98,7 +98,7 @@
 
 // preempt cancels a running request so that an urgent one gets its slot. It
 // continues later from its offset.
-func (a *admission) preempt(item scheduler.Item) {
+func (a *Admission) preempt(item scheduler.Item) {
 	j := a.jobs[item.ID]
 	if j == nil || j.preempted || !j.running {
 		return
@@ -109,12 +109,12 @@
 }
 
 // execute copies the frames of the engine into the replay buffer.
-func (a *admission) execute(ctx context.Context, j *job, class int, address string) {
+func (a *Admission) execute(ctx context.Context, j *job, class int, address string) {
 	resumer := streamer.NewResumer(ctx, streamer.Resume{
 		RequestID: j.id,
 		Start:     j.buffer.Position(),
 		Attempts:  engineAttempts,
-		Clock:     a.dispatcher.Clock,
+		Clock:     a.env.Clock,
 		Unsealed:  true,
 		Limits:    streamer.Limits{Silence: streamer.SilenceLimit, Progress: progressLimit},
 		Open: func(ctx context.Context, p streamer.Position, attempt int) (bergamotdale.FrameStream, error) {
@@ -122,7 +122,7 @@
 				// The engine may not have noticed that the connection is gone.
 				_ = a.cancelAtEngine(j.id, address)
 			}
-			return a.dispatcher.Engine.Complete(ctx, address, bergamotdale.EngineRequest{
+			return a.env.Engine.Complete(ctx, address, bergamotdale.EngineRequest{
 				RequestID:  j.id,
 				Body:       j.completion.Body,
 				Priority:   class,
@@ -136,8 +136,8 @@
 }
 
 // copyFrames appends frames to the buffer until a final one, which it returns.
-func (a *admission) copyFrames(j *job, s bergamotdale.FrameStream) bergamotdale.Frame {
-	lastToken := a.dispatcher.Clock.Now()
+func (a *Admission) copyFrames(j *job, s bergamotdale.FrameStream) bergamotdale.Frame {
+	lastToken := a.env.Clock.Now()
 	for {
 		frame, err := s.Next()
 		if err != nil {
@@ -148,7 +148,7 @@
 			if err := j.buffer.Append(frame); err != nil {
 				return streamer.RefusalFrame(j.id, j.buffer.Position().Offset, streamLost(err))
 			}
-			now := a.dispatcher.Clock.Now()
+			now := a.env.Clock.Now()
 			a.progress(j, now, frame, now.Sub(lastToken))
 			lastToken = now
 		case bergamotdale.FrameEnd, bergamotdale.FrameRefusal:
@@ -173,7 +173,7 @@
 }
 
 // progress tells the scheduler and the limiter about generated tokens.
-func (a *admission) progress(j *job, now time.Time, f bergamotdale.Frame, elapsed time.Duration) {
+func (a *Admission) progress(j *job, now time.Time, f bergamotdale.Frame, elapsed time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.Progress(j.item, f.Offset+len(f.Tokens))
@@ -186,7 +186,7 @@
 
 // end applies the final frame of a stream: the request is complete, goes back
 // to the queue after a preemption, or is refused.
-func (a *admission) end(ctx context.Context, j *job, address string, last bergamotdale.Frame) {
+func (a *Admission) end(ctx context.Context, j *job, address string, last bergamotdale.Frame) {
 	crashed := false
 	if last.Kind == bergamotdale.FrameRefusal && ctx.Err() == nil && last.Refusal.Code != bergamotdale.CodeEndpointRefused {
 		if crashed = a.inspectFailure(j, address); crashed {
@@ -206,14 +206,14 @@
 	a.finishRun(j, last)
 }
 
-func (a *admission) isPreempted(j *job) bool {
+func (a *Admission) isPreempted(j *job) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return j.preempted && !j.abandoned
 }
 
 // respond writes the final frame of a job that still holds its slot.
-func (a *admission) respond(j *job, last bergamotdale.Frame) {
+func (a *Admission) respond(j *job, last bergamotdale.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordEnd(j, last)
@@ -221,10 +221,10 @@
 }
 
 // finishRun frees the slot of a job. A preempted one goes back to the queue.
-func (a *admission) finishRun(j *job, last bergamotdale.Frame) {
+func (a *Admission) finishRun(j *job, last bergamotdale.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.dispatcher.Clock.Now()
+	now := a.env.Clock.Now()
 	a.atEngine.Add(-1)
 	if j.preempted && !j.abandoned && last.Kind != bergamotdale.FrameEnd {
 		a.requeue(now, j)
@@ -243,18 +243,18 @@
 }
 
 // recordEnd adds the end of a run to the timeline.
-func (a *admission) recordEnd(j *job, last bergamotdale.Frame) {
+func (a *Admission) recordEnd(j *job, last bergamotdale.Frame) {
 	kind := "request-failed"
 	if last.Kind == bergamotdale.FrameEnd {
 		kind = "request-completed"
-		a.dispatcher.Quarantine.Completed(j.completion.Fingerprint)
+		a.env.Quarantine.Completed(j.completion.Fingerprint)
 	}
 	a.record(j, kind, fmt.Sprintf("at offset %d", j.buffer.Position().Offset))
 }
 
 // requeue returns a preempted request to the queue. After a release it is sent
 // to the new owner instead.
-func (a *admission) requeue(now time.Time, j *job) {
+func (a *Admission) requeue(now time.Time, j *job) {
 	j.preempted, j.running, j.stop = false, false, nil
 	if a.released {
 		a.queue.Done(now, j.item)
@@ -269,22 +269,22 @@
 // awaitCancelled cancels the request at the engine until the engine has
 // confirmed it or has crashed. An engine that does not respond keeps the slot:
 // it may still run the request when it responds again.
-func (a *admission) awaitCancelled(id, address string) {
+func (a *Admission) awaitCancelled(id, address string) {
 	for range cancelAttempts {
 		err := a.cancelAtEngine(id, address)
 		if err == nil || connectionRefused(err) {
 			return
 		}
-		a.dispatcher.Logger.Debug("cancel failed", zap.String("stream-id", id), zap.Error(err))
-		if bergamotdale.Wait(a.dispatcher.ctx, a.dispatcher.Clock, cancelRetry) != nil {
+		a.env.Logger.Debug("cancel failed", zap.String("stream-id", id), zap.Error(err))
+		if bergamotdale.Wait(a.env.Context, a.env.Clock, cancelRetry) != nil {
 			return
 		}
 	}
 }
 
 // cancelAtEngine sends one cancellation.
-func (a *admission) cancelAtEngine(id, address string) error {
-	ctx, cancel := context.WithTimeout(a.dispatcher.ctx, cancelTimeout)
+func (a *Admission) cancelAtEngine(id, address string) error {
+	ctx, cancel := context.WithTimeout(a.env.Context, cancelTimeout)
 	defer cancel()
-	return a.dispatcher.Engine.Cancel(ctx, address, id)
+	return a.env.Engine.Cancel(ctx, address, id)
 }
--- a/dispatcher/audience.go
+++ b/dispatcher/audience.go
@@ -67,7 +67,7 @@
 
 // cancelAbandoned cancels the request if nobody has read it again meanwhile.
 func (d *Dispatcher) cancelAbandoned(id, endpoint string, generation int) {
-	if bergamotdale.Wait(d.ctx, d.Clock, reconnectGrace) != nil {
+	if bergamotdale.Wait(d.Context, d.Clock, reconnectGrace) != nil {
 		return
 	}
 	d.mu.Lock()
@@ -80,6 +80,6 @@
 	admission := d.admissions[endpoint]
 	d.mu.Unlock()
 	if admission != nil {
-		admission.cancel(id)
+		admission.Cancel(id)
 	}
 }
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/dispatcher"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/replayer"
@@ -56,10 +57,10 @@
 	for _, tokens := range []int{1, 100, 450, 1000} {
 		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
 			clock := bergamotdale.SystemClock{}
-			d := &dispatcher.Dispatcher{
+			d := &dispatcher.Dispatcher{Environment: admitter.Environment{
 				Engine: &instantEngine{tokens: tokens}, Clock: clock, Recorder: discard{}, Logger: zap.NewNop(),
 				Ownership: owner{}, Loads: loads{}, Quarantine: quarantine{}, Replayer: replayer.New(clock, time.Second, 1<<20), PollInterval: time.Second,
-			}
+			}}
 			ctx, cancel := context.WithCancel(b.Context())
 			done := make(chan struct{})
 			go func() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -12,118 +12,40 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/samber/lo"
-	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/replayer"
-	"github.com/bergamotdale/bergamotdale/scheduler"
 )
 
-// Policy is the part of the configuration that admission needs. It is
-// immutable.
-type Policy struct {
-	Classes []scheduler.Class
-	// ClassIndex maps the name of a priority class to its index in Classes.
-	ClassIndex map[string]int
-	// Bound is the load bound of every model group (I1).
-	Bound placer.Bound
-	// Weight returns the share of a workspace.
-	Weight func(workspace string) float64
-	// TargetTokenTime is the inter-token latency that engines should keep.
-	TargetTokenTime time.Duration
-}
-
-// Assignment is an engine that this router owns.
-type Assignment struct {
-	Name           string
-	Address        string
-	MaxConcurrency int
-	Epoch          int64
-	Draining       bool
-	// Confirmed is true where no previous owner can admit work any more.
-	Confirmed bool
-}
-
-// Ownership tells how sure this router is that it alone owns an engine.
-type Ownership interface {
-	// Admits reports whether this router may admit work to the engine now.
-	Admits(endpoint string) bool
-	// Expired reports whether the lease is not known to be valid while another
-	// router may have claimed the engine.
-	Expired() bool
-	// Confirmed records that a load report has shown no foreign load.
-	Confirmed(endpoint string, epoch int64)
-}
-
-// Loads gives the shared load of a model group.
-type Loads interface {
-	// Mean returns the mean load of the group; false if it was never known.
-	Mean(group string) (placer.Mean, bool)
-	// Refresh brings the mean of the group up to date and reports whether it
-	// may have changed.
-	Refresh(group string) bool
-	// Changed tells that the load of an owned engine has changed.
-	Changed()
-	// LeastLoaded returns an engine of the group with room, other than the
-	// one given, or "".
-	LeastLoaded(group, except string) string
-}
-
-// Quarantine knows the requests that were running when engines crashed.
-type Quarantine interface {
-	// Refusal returns the refusal of a quarantined fingerprint, or nil.
-	Refusal(fingerprint string) *bergamotdale.Refusal
-	// MayRun reports whether the fingerprint may start beside the running ones.
-	MayRun(fingerprint string, running []string) bool
-	// Crashed records the fingerprints that were running at a crash.
-	Crashed(endpoint string, fingerprints []string)
-	// Completed records that the fingerprint ran to its end.
-	Completed(fingerprint string)
-}
-
 // Dispatcher runs requests on the engines that this router owns. Exported
 // fields are set before Run.
 type Dispatcher struct {
-	Engine     bergamotdale.Engine
-	Clock      bergamotdale.Clock
-	Recorder   bergamotdale.Recorder
-	Logger     *zap.Logger
-	Ownership  Ownership
-	Loads      Loads
-	Quarantine Quarantine
-	Replayer   *replayer.Replayer
-	// Draining is called when an owned engine reports that it is draining.
-	Draining func(endpoint string)
-	// PollInterval is the time between two load reports of an engine.
-	PollInterval time.Duration
+	// Environment is set before Run, but for Context and Jobs.
+	admitter.Environment
 
 	mu         sync.Mutex
-	admissions map[string]*admission
-	policy     *Policy
+	admissions map[string]*admitter.Admission
 	stopping   bool
-	// jobs counts queued and running requests of all admissions, including
-	// those whose engine has been handed over.
-	jobs sync.WaitGroup
+	jobs       sync.WaitGroup
 	// readers counts the open streams of each running request.
 	readers map[string]*audience
 	// atEngine counts the requests that this router runs at each engine.
 	atEngine map[string]*atomic.Int64
 	// received holds handovers of engines that are not assigned yet.
-	received map[string]Handover
-	ctx      context.Context
+	received map[string]admitter.Handover
 }
 
 // Run keeps the admissions working until the context is done.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.mu.Lock()
-	d.ctx = ctx
-	d.admissions = map[string]*admission{}
+	d.Context = ctx
+	d.Jobs = &d.jobs
+	d.admissions = map[string]*admitter.Admission{}
 	d.readers = map[string]*audience{}
-	d.received = map[string]Handover{}
+	d.received = map[string]admitter.Handover{}
 	d.atEngine = map[string]*atomic.Int64{}
 	d.mu.Unlock()
 	for bergamotdale.Wait(ctx, d.Clock, replayer.Retention/4) == nil {
@@ -135,29 +57,28 @@
 // Apply makes the assignments the owned engines. An engine that is no longer
 // listed is released: its waiting requests are sent to the new owner, its
 // running ones finish here.
-func (d *Dispatcher) Apply(policy *Policy, assignments []Assignment) {
+func (d *Dispatcher) Apply(policy *admitter.Policy, assignments []admitter.Assignment) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.ctx == nil || d.ctx.Err() != nil {
+	if d.Context == nil || d.Context.Err() != nil {
 		return
 	}
-	d.policy = policy
-	kept := lo.SliceToMap(assignments, func(a Assignment) (string, Assignment) { return a.Name, a })
+	kept := lo.SliceToMap(assignments, func(a admitter.Assignment) (string, admitter.Assignment) { return a.Name, a })
 	for name, a := range d.admissions {
 		if _, ok := kept[name]; !ok {
 			delete(d.admissions, name)
-			a.release()
+			a.Release()
 		}
 	}
 	for _, assignment := range assignments {
 		a, ok := d.admissions[assignment.Name]
 		if ok {
-			a.update(policy, assignment)
+			a.Update(policy, assignment)
 			continue
 		}
-		a = newAdmission(d, policy, assignment)
+		a = admitter.New(&d.Environment, policy, assignment, d.counter(assignment.Name))
 		if h, ok := d.received[assignment.Name]; ok {
-			a.receive(h)
+			a.Receive(h)
 			delete(d.received, assignment.Name)
 		}
 		d.admissions[assignment.Name] = a
@@ -198,7 +119,7 @@
 	}
 	stream, err := d.Replayer.Read(ctx, c.StreamID(), c.ResumeFrom)
 	if err != nil {
-		a.cancel(c.StreamID())
+		a.Cancel(c.StreamID())
 		return nil, bergamotdale.Refuse(bergamotdale.CodeInternal, "no replay buffer").
 			WithOutcome(bergamotdale.OutcomeUnknown).WithCause(err)
 	}
@@ -207,32 +128,22 @@
 
 // admit queues the completion. A refusal because of the load bound is checked
 // once more with the present mean, which lags behind the loads.
-func (d *Dispatcher) admit(a *admission, c bergamotdale.Completion) error {
-	err := a.admit(c)
+func (d *Dispatcher) admit(a *admitter.Admission, c bergamotdale.Completion) error {
+	err := a.Admit(c)
 	if refusal := (*bergamotdale.Refusal)(nil); errors.As(err, &refusal) &&
 		refusal.Code == bergamotdale.CodeOverloaded && d.Loads.Refresh(c.Model) {
-		return a.admit(c)
+		return a.Admit(c)
 	}
 	return err
 }
 
-// Load is the load of an owned engine, for the aggregator of its group.
-type Load struct {
-	Endpoint string
-	// Load is the number of requests that run or wait.
-	Load    int
-	Running int
-	Limit   int
-	Epoch   int64
-}
-
 // Report returns the loads of the owned engines, by name.
-func (d *Dispatcher) Report() []Load {
+func (d *Dispatcher) Report() []admitter.Load {
 	d.mu.Lock()
 	admissions := lo.Values(d.admissions)
 	d.mu.Unlock()
-	loads := lo.Map(admissions, func(a *admission, _ int) Load { return a.report() })
-	slices.SortFunc(loads, func(a, b Load) int {
+	loads := lo.Map(admissions, func(a *admitter.Admission, _ int) admitter.Load { return a.Report() })
+	slices.SortFunc(loads, func(a, b admitter.Load) int {
 		if a.Endpoint < b.Endpoint {
 			return -1
 		}
@@ -241,32 +152,24 @@
 	return loads
 }
 
-// Handover is what the next owner of an engine needs to know.
-type Handover struct {
-	// Overrides maps hashes of chats to the endpoints that they were placed at.
-	Overrides map[uint64]string `json:"overrides,omitempty"`
-	// Running is the number of requests that finish at the previous owner.
-	Running int `json:"running"`
-}
-
 // Handover returns the state of an owned engine for its next owner.
-func (d *Dispatcher) Handover(endpoint string) (Handover, bool) {
+func (d *Dispatcher) Handover(endpoint string) (admitter.Handover, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.admissions[endpoint]
 	if a == nil {
-		return Handover{}, false
+		return admitter.Handover{}, false
 	}
-	return a.handover(), true
+	return a.Handover(), true
 }
 
 // Receive keeps the state that the previous owner of an engine has handed over.
 // It is used when the engine is assigned.
-func (d *Dispatcher) Receive(endpoint string, h Handover) {
+func (d *Dispatcher) Receive(endpoint string, h admitter.Handover) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if a := d.admissions[endpoint]; a != nil {
-		a.receive(h)
+		a.Receive(h)
 		return
 	}
 	d.received[endpoint] = h
@@ -293,7 +196,7 @@
 	a := d.admissions[endpoint]
 	d.mu.Unlock()
 	if a != nil {
-		a.setRemaining(n)
+		a.SetRemaining(n)
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/dispatcher"
 	"github.com/bergamotdale/bergamotdale/fleettester"
 	"github.com/bergamotdale/bergamotdale/placer"
@@ -136,11 +137,11 @@
 func newDispatcher(t *testing.T, e *fakeEngine) *dispatcher.Dispatcher {
 	t.Helper()
 	clock := bergamotdale.SystemClock{}
-	d := &dispatcher.Dispatcher{
+	d := &dispatcher.Dispatcher{Environment: admitter.Environment{
 		Engine: e, Clock: clock, Recorder: discard{}, Logger: zap.NewNop(), Ownership: owner{}, Loads: loads{},
 		Quarantine: quarantine{}, Replayer: replayer.New(clock, time.Minute, 1<<20), PollInterval: 20 * time.Millisecond,
 		Draining: func(string) {},
-	}
+	}}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -155,12 +156,12 @@
 }
 
 func assign(d *dispatcher.Dispatcher, epoch int64) {
-	policy := &dispatcher.Policy{
+	policy := &admitter.Policy{
 		Classes:    []scheduler.Class{{Name: "only", MaxWait: time.Minute, MaxQueued: 100}},
 		ClassIndex: map[string]int{"only": 0},
 		Weight:     func(string) float64 { return 1 },
 	}
-	d.Apply(policy, []dispatcher.Assignment{{
+	d.Apply(policy, []admitter.Assignment{{
 		Name: "engine-1", Address: "127.0.0.1:1", MaxConcurrency: limit, Epoch: epoch, Confirmed: true,
 	}})
 }
@@ -194,8 +195,8 @@
 		running, _ := e.count()
 		return running == limit
 	}))
-	d.Apply(&dispatcher.Policy{}, nil)
-	d.Receive("engine-1", dispatcher.Handover{})
+	d.Apply(&admitter.Policy{}, nil)
+	d.Receive("engine-1", admitter.Handover{})
 	assign(d, 3)
 	dispatch(t, d, "after", limit)
 	// The queue is looked at several times meanwhile.
--- a/router/control.go
+++ b/router/control.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/aggregator"
 	"github.com/bergamotdale/bergamotdale/caller"
-	"github.com/bergamotdale/bergamotdale/dispatcher"
 	"github.com/bergamotdale/bergamotdale/elector"
 	"github.com/bergamotdale/bergamotdale/placer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
@@ -129,14 +129,14 @@
 }
 
 // assignments returns the engines that this router owns.
-func (r *Router) assignments(v *view, held map[string]elector.Holding) []dispatcher.Assignment {
-	var assignments []dispatcher.Assignment
+func (r *Router) assignments(v *view, held map[string]elector.Holding) []admitter.Assignment {
+	var assignments []admitter.Assignment
 	for name, h := range held {
 		engine, ok := v.config.Engine(name)
 		if !ok {
 			continue
 		}
-		assignments = append(assignments, dispatcher.Assignment{
+		assignments = append(assignments, admitter.Assignment{
 			Name:           name,
 			Address:        engine.Address(),
 			MaxConcurrency: engine.MaxConcurrency(),
@@ -160,8 +160,8 @@
 }
 
 // policyOf returns what admission needs of the configuration.
-func policyOf(c *validator.Config) *dispatcher.Policy {
-	p := &dispatcher.Policy{
+func policyOf(c *validator.Config) *admitter.Policy {
+	p := &admitter.Policy{
 		ClassIndex: map[string]int{},
 		Bound:      placer.Bound{Multiple: c.Limits().LoadMultiple},
 		Weight: func(workspace string) float64 {
@@ -217,7 +217,7 @@
 	if len(data) == 0 {
 		return
 	}
-	var state dispatcher.Handover
+	var state admitter.Handover
 	if err := json.Unmarshal(data, &state); err != nil {
 		r.Logger.Warn("handover state not readable", zap.String("name", o.Name), zap.Error(err))
 		return
--- a/router/operators.go
+++ b/router/operators.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/dispatcher"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/operator"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
 	"github.com/bergamotdale/bergamotdale/placer"
@@ -92,7 +92,7 @@
 	if v.config == nil {
 		return nil
 	}
-	loads := lo.KeyBy(r.dispatch.Report(), func(l dispatcher.Load) string { return l.Endpoint })
+	loads := lo.KeyBy(r.dispatch.Report(), func(l admitter.Load) string { return l.Endpoint })
 	var all []*pb.EndpointStatus
 	for _, engine := range v.config.Engines() {
 		status := &pb.EndpointStatus{Endpoint: engine.Name(), FailureDomain: engine.FailureDomain(), State: "ok"}
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/aggregator"
 	"github.com/bergamotdale/bergamotdale/caller"
 	"github.com/bergamotdale/bergamotdale/dispatcher"
@@ -193,7 +194,7 @@
 // buildRequestPath creates the entry side and the owner side.
 func (r *Router) buildRequestPath(i do.Injector, store bergamotdale.Store) {
 	budget := retrier.NewBudget()
-	r.dispatch = &dispatcher.Dispatcher{
+	r.dispatch = &dispatcher.Dispatcher{Environment: admitter.Environment{
 		Engine:       do.MustInvoke[bergamotdale.Engine](i),
 		Clock:        r.clock,
 		Recorder:     r.recorder,
@@ -204,7 +205,7 @@
 		Replayer:     replayer.New(r.clock, replayer.Retention, replayer.DefaultBytes),
 		PollInterval: loadPollInterval,
 		Draining:     r.markDraining,
-	}
+	}}
 	r.callers = &caller.Caller{
 		Service:   do.MustInvoke[bergamotdale.Service](i),
 		Clock:     r.clock,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -83,9 +83,14 @@
 	RetryAfter time.Duration
 }
 
-// Refusal returns the final response to the refused request.
+// Refusal returns the final response to the refused request. The outcome of one
+// that has run before a preemption is unknown.
 func (r Refused) Refusal() *bergamotdale.Refusal {
-	return bergamotdale.Refuse(r.Code, "no capacity within the time limit").After(r.RetryAfter)
+	refusal := bergamotdale.Refuse(r.Code, "no capacity within the time limit").After(r.RetryAfter)
+	if r.Item.Offset > 0 {
+		return refusal.WithOutcome(bergamotdale.OutcomeUnknown)
+	}
+	return refusal
 }
 
 // Decision is what to do now.
