admitter, dispatcher, forwarder: changed priority classes are in force at once

Ruled out: changing the classes of a live queue; the scheduler's state depends on them. Change: new classes make a new admission; its predecessor finishes what runs and sends what waits to the new one. Following a change of owner costs no retry. Figures: TestChangedClassesAreInForce does not end without the change (stopped by hand), and passes with it. Conclusion: in force.

--- a/admitter/admission.go
+++ b/admitter/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,8 +38,10 @@
 type Admission struct {
 	env  *Environment
 	name string
-	stop context.CancelFunc
-	wake chan struct{}
+	// classes are those that the queue was made for.
+	classes []scheduler.Class
+	stop    context.CancelFunc
+	wake    chan struct{}
 
 	mu         sync.Mutex
 	assignment Assignment
@@ -69,11 +72,12 @@
 func New(env *Environment, policy *Policy, assignment Assignment, atEngine *atomic.Int64) *Admission {
 	ctx, cancel := context.WithCancel(env.Context)
 	a := &Admission{
-		env:   env,
-		name:  assignment.Name,
-		stop:  cancel,
-		wake:  make(chan struct{}, 1),
-		queue: scheduler.New(scheduler.Config{Classes: policy.Classes}),
+		env:     env,
+		name:    assignment.Name,
+		classes: policy.Classes,
+		stop:    cancel,
+		wake:    make(chan struct{}, 1),
+		queue:   scheduler.New(scheduler.Config{Classes: policy.Classes}),
 		limit: limiter.NewConcurrency(limiter.ConcurrencyConfig{
 			Max:             assignment.MaxConcurrency,
 			Initial:         assignment.MaxConcurrency,
@@ -103,6 +107,11 @@
 	a.signal()
 }
 
+// Outdated reports whether the queue was made for other priority classes.
+func (a *Admission) Outdated(policy *Policy) bool {
+	return !slices.Equal(a.classes, policy.Classes)
+}
+
 // signal makes run look at the queue.
 func (a *Admission) signal() {
 	select {
@@ -327,19 +336,22 @@
 			continue
 		}
 		a.queue.Cancel(now, item)
-		a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset,
-			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
+		a.sendToNewOwner(j)
 	}
 	a.stop()
 }
 
+// sendToNewOwner ends a request here; its entry router follows the engine.
+func (a *Admission) sendToNewOwner(j *job) {
+	refusal := bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")
+	a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset, refusal))
+}
+
 // poll reads load reports of the engine.
 func (a *Admission) poll(ctx context.Context) {
-	for {
+	a.readLoad(ctx)
+	for bergamotdale.Wait(ctx, a.env.Clock, a.env.PollInterval) == nil {
 		a.readLoad(ctx)
-		if bergamotdale.Wait(ctx, a.env.Clock, a.env.PollInterval) != nil {
-			return
-		}
 	}
 }
 
--- a/admitter/job.go
+++ b/admitter/job.go
@@ -258,8 +258,7 @@
 	j.preempted, j.running, j.stop = false, false, nil
 	if a.released {
 		a.queue.Done(now, j.item)
-		a.finish(j, streamer.RefusalFrame(j.id, j.buffer.Position().Offset,
-			bergamotdale.Refuse(bergamotdale.CodeNotOwner, "the engine has another owner")))
+		a.sendToNewOwner(j)
 		return
 	}
 	a.queue.Preempted(now, j.item, j.buffer.Position().Offset)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,7 +65,8 @@
 	}
 	kept := lo.SliceToMap(assignments, func(a admitter.Assignment) (string, admitter.Assignment) { return a.Name, a })
 	for name, a := range d.admissions {
-		if _, ok := kept[name]; !ok {
+		// A queue cannot change its priority classes, so a new one takes over.
+		if _, ok := kept[name]; !ok || a.Outdated(policy) {
 			delete(d.admissions, name)
 			a.Release()
 		}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -156,8 +156,13 @@
 }
 
 func assign(d *dispatcher.Dispatcher, epoch int64) {
+	assignQueue(d, epoch, 100)
+}
+
+// assignQueue assigns an engine whose queue holds the given number of requests.
+func assignQueue(d *dispatcher.Dispatcher, epoch int64, queued int) {
 	policy := &admitter.Policy{
-		Classes:    []scheduler.Class{{Name: "only", MaxWait: time.Minute, MaxQueued: 100}},
+		Classes:    []scheduler.Class{{Name: "only", MaxWait: time.Minute, MaxQueued: queued}},
 		ClassIndex: map[string]int{"only": 0},
 		Weight:     func(string) float64 { return 1 },
 	}
@@ -236,3 +241,25 @@
 	_, highest = e.count()
 	assert.Equal(t, highest, limit)
 }
+
+// Guards against priority classes that stay as they were when the router became
+// the owner, although the configuration in force has changed (I7).
+func TestChangedClassesAreInForce(t *testing.T) {
+	e := &fakeEngine{running: map[string]*blockedStream{}}
+	d := newDispatcher(t, e)
+	assert.NilError(t, fleettester.Await(t.Context(), func() bool {
+		assign(d, 1)
+		return len(d.Report()) == 1
+	}))
+	dispatch(t, d, "running", limit)
+	assignQueue(d, 1, 1)
+	dispatch(t, d, "waiting", 1)
+	assert.NilError(t, fleettester.Await(t.Context(), func() bool {
+		_, err := d.Dispatch(t.Context(), bergamotdale.Completion{
+			RequestID: "refused", Workspace: "a", PriorityClass: "only", Endpoint: "engine-1", PromptTokens: 1, MaxTokens: 10,
+		})
+		return err != nil
+	}))
+	_, highest := e.count()
+	assert.Equal(t, highest, limit)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -139,6 +139,9 @@
 	// broken is true after the endpoint itself failed, so that the next stream
 	// goes to another one.
 	broken bool
+	// redirected is true after the owner of the endpoint has changed under the
+	// request. Following it is not a retry.
+	redirected bool
 	// crashed is true after the endpoint crashed under the request.
 	crashed bool
 	// exhausted is true once no endpoint has room; the refusal is final then.
@@ -150,14 +153,15 @@
 	if r.exhausted || retrier.Classify(refusal, true) == retrier.Final {
 		return false
 	}
-	r.broken = refusal.Code != bergamotdale.CodeNotOwner
+	r.redirected = refusal.Code == bergamotdale.CodeNotOwner
+	r.broken = !r.redirected
 	r.crashed = refusal.Code == bergamotdale.CodeEndpointFailed
 	return true
 }
 
 // open opens a stream for the rest of the response.
 func (r *route) open(ctx context.Context, p streamer.Position, attempt int) (bergamotdale.FrameStream, error) {
-	if attempt > 0 {
+	if attempt > 0 && !r.redirected {
 		if !r.forwarder.Budget.Take() {
 			r.exhausted = true
 			return nil, bergamotdale.Refuse(bergamotdale.CodeRetryBudgetSpent, "no retry budget left").
@@ -174,7 +178,7 @@
 	if r.broken && len(r.endpoints) > 1 {
 		r.endpoints = r.endpoints[1:]
 	}
-	r.broken = false
+	r.broken, r.redirected = false, false
 	c := r.completion
 	c.ResumeFrom, c.ResumeChecksum = p.Offset, p.Checksum.String()
 	c.Attempt = attempt
