dispatcher: the test of changed classes ends

Change: the test looks at the load of the new queue, after the first requests are running. Conclusion: as strict as before, and it fails without the change.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -252,14 +252,19 @@
 		return len(d.Report()) == 1
 	}))
 	dispatch(t, d, "running", limit)
-	assignQueue(d, 1, 1)
-	dispatch(t, d, "waiting", 1)
 	assert.NilError(t, fleettester.Await(t.Context(), func() bool {
-		_, err := d.Dispatch(t.Context(), bergamotdale.Completion{
-			RequestID: "refused", Workspace: "a", PriorityClass: "only", Endpoint: "engine-1", PromptTokens: 1, MaxTokens: 10,
-		})
-		return err != nil
+		running, _ := e.count()
+		return running == limit
 	}))
+	assignQueue(d, 1, 1)
+	for i := range 5 {
+		// The queue refuses one of its requests, not always the last one.
+		_, _ = d.Dispatch(t.Context(), bergamotdale.Completion{
+			RequestID: fmt.Sprintf("waiting-%d", i), Workspace: "a", PriorityClass: "only", Endpoint: "engine-1",
+			PromptTokens: 1, MaxTokens: 10,
+		})
+	}
+	assert.Equal(t, d.Report()[0].Load, 1)
 	_, highest := e.count()
 	assert.Equal(t, highest, limit)
 }
