--- a/admitter/admission.go
+++ b/admitter/admission.go
@@ -178,7 +178,7 @@
 	if err := a.check(c); err != nil {
 		return err
 	}
-	position, err := resumePosition(c)
+	position, err := streamer.ResumePosition(c)
 	if err != nil {
 		return err
 	}
--- a/admitter/job.go
+++ b/admitter/job.go
@@ -50,19 +50,6 @@
 	stop context.CancelFunc
 }
 
-// resumePosition returns the position from which the client wants tokens.
-func resumePosition(c bergamotdale.Completion) (streamer.Position, error) {
-	if c.ResumeFrom == 0 {
-		return streamer.Position{}, nil
-	}
-	checksum, err := streamer.ParseChecksum(c.ResumeChecksum)
-	if err != nil {
-		return streamer.Position{}, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
-			"the checksum at the resume offset is not valid").WithCause(err)
-	}
-	return streamer.Position{Offset: c.ResumeFrom, Checksum: checksum}, nil
-}
-
 // start runs a request at the engine. A suspect of a crash waits while another
 // suspect runs there.
 func (a *Admission) start(now time.Time, item scheduler.Item) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,8 +49,6 @@
 // Directory is the entry router's view of the fleet. It is immutable for as
 // long as one call of a method lasts.
 type Directory interface {
-	// Self returns the ID of this router.
-	Self() string
 	// Group returns the placement candidates of the model, nil if unknown.
 	Group(model string) *placer.Group
 	// Owner returns the router that owns the endpoint.
@@ -67,6 +65,8 @@
 // Forwarder sends completions to the owners of their endpoints. Exported
 // fields are set before the first call.
 type Forwarder struct {
+	// Self is the ID of this router.
+	Self      string
 	Directory Directory
 	Local     Local
 	Peer      bergamotdale.Peer
@@ -83,7 +83,7 @@
 	if group == nil {
 		return nil, bergamotdale.Refuse(bergamotdale.CodeUnknownModel, "no model %q", c.Model)
 	}
-	start, err := startPosition(c)
+	start, err := streamer.ResumePosition(c)
 	if err != nil {
 		return nil, err
 	}
@@ -103,19 +103,6 @@
 	}), nil
 }
 
-// startPosition returns the position that the client has already.
-func startPosition(c bergamotdale.Completion) (streamer.Position, error) {
-	if c.ResumeFrom == 0 {
-		return streamer.Position{}, nil
-	}
-	checksum, err := streamer.ParseChecksum(c.ResumeChecksum)
-	if err != nil {
-		return streamer.Position{}, bergamotdale.Refuse(bergamotdale.CodeInvalidRequest,
-			"the checksum at the resume offset is not valid").WithCause(err)
-	}
-	return streamer.Position{Offset: c.ResumeFrom, Checksum: checksum}, nil
-}
-
 // order returns the names of the endpoints to try for the chat.
 func (f *Forwarder) order(group *placer.Group, c bergamotdale.Completion) []string {
 	indices := group.Order(make([]int, 0, maxSpills+1), placer.Request{
@@ -296,7 +283,7 @@
 func (f *Forwarder) sendTo(ctx context.Context, owner bergamotdale.Member, c bergamotdale.Completion) (bergamotdale.FrameStream, error) {
 	f.Logger.Debug("request forwarded", zap.String("request-id", c.RequestID),
 		zap.String("endpoint", c.Endpoint), zap.String("owner", owner.ID))
-	if owner.ID == f.Directory.Self() {
+	if owner.ID == f.Self {
 		return f.Local.Dispatch(ctx, c)
 	}
 	return f.Peer.Stream(ctx, owner.Address, pathForward, c)
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -58,7 +58,7 @@
 
 // commitAt executes the call at a router.
 func (f *Forwarder) commitAt(ctx context.Context, owner bergamotdale.Member, c bergamotdale.ServiceCall, local Executor) (bergamotdale.ServiceResponse, error) {
-	if owner.ID == f.Directory.Self() {
+	if owner.ID == f.Self {
 		return local.Execute(ctx, c)
 	}
 	var response CommitResponse
--- a/router/backend.go
+++ b/router/backend.go
@@ -17,11 +17,11 @@
 
 // config returns the configuration in force, or a refusal without one.
 func (b *backend) config() (*validator.Config, error) {
-	v := b.router.current()
-	if v == nil || v.config == nil {
+	v := b.router.views.Current()
+	if v.Config() == nil {
 		return nil, bergamotdale.Refuse(bergamotdale.CodeNoConfiguration, "no configuration is known yet").After(controlInterval)
 	}
-	return v.config, nil
+	return v.Config(), nil
 }
 
 // Authorize implements responder.Backend.
--- a/router/control.go
+++ b/router/control.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotdale/bergamotdale/placer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
 	"github.com/bergamotdale/bergamotdale/validator"
+	"github.com/bergamotdale/bergamotdale/viewer"
 )
 
 const (
@@ -62,20 +63,19 @@
 
 // refresh publishes a new view and applies it.
 func (r *Router) refresh() {
-	v := r.newView(r.clock.Now(), r.view.Load())
-	r.view.Store(v)
-	r.suspects.Merge(v.members, r.clock.Now())
-	if v.config == nil {
+	v := r.views.Refresh()
+	r.suspects.Merge(v.Members(), r.clock.Now())
+	if v.Config() == nil {
 		return
 	}
-	r.suspects.Configure(v.config.Limits())
-	r.checkDrain(v.config)
+	r.suspects.Configure(v.Config().Limits())
+	r.checkDrain(v.Config())
 	if !r.joined() {
 		return
 	}
-	r.elector.SetNames(v.names())
+	r.elector.SetNames(v.Names())
 	held := r.elector.Held()
-	r.dispatch.Apply(policyOf(v.config), r.assignments(v, held))
+	r.dispatch.Apply(policyOf(v.Config()), r.assignments(v, held))
 	r.shards.Apply(shardEpochs(held))
 	if r.settled(v, held) {
 		r.serving.Store(true)
@@ -97,11 +97,11 @@
 // settled reports whether this router has found out who owns what it should
 // own. Until then it is not ready, so that the balancer sends it no request
 // that would be refused for want of an owner.
-func (r *Router) settled(v *view, held map[string]elector.Holding) bool {
+func (r *Router) settled(v *viewer.View, held map[string]elector.Holding) bool {
 	if r.clock.Now().Sub(r.started) > settleTimeout {
 		return true
 	}
-	for name, owner := range v.wanted {
+	for name, owner := range v.Wanted() {
 		if _, own := held[name]; own || owner != r.self.ID {
 			continue
 		}
@@ -129,10 +129,10 @@
 }
 
 // assignments returns the engines that this router owns.
-func (r *Router) assignments(v *view, held map[string]elector.Holding) []admitter.Assignment {
+func (r *Router) assignments(v *viewer.View, held map[string]elector.Holding) []admitter.Assignment {
 	var assignments []admitter.Assignment
 	for name, h := range held {
-		engine, ok := v.config.Engine(name)
+		engine, ok := v.Config().Engine(name)
 		if !ok {
 			continue
 		}
@@ -141,7 +141,7 @@
 			Address:        engine.Address(),
 			MaxConcurrency: engine.MaxConcurrency(),
 			Epoch:          h.Epoch,
-			Draining:       v.draining[name],
+			Draining:       v.Draining(name),
 			Confirmed:      h.Limit == elector.ModeFull,
 		})
 	}
@@ -252,11 +252,11 @@
 
 // group returns the model group of a model or adapter.
 func (l *loads) group(model string) string {
-	v := l.router.current()
-	if v.config == nil {
+	v := l.router.views.Current()
+	if v.Config() == nil {
 		return model
 	}
-	if m, ok := v.config.Model(model); ok {
+	if m, ok := v.Config().Model(model); ok {
 		return m.Group()
 	}
 	return model
@@ -289,9 +289,9 @@
 	if !ok {
 		return ""
 	}
-	v := l.router.current()
+	v := l.router.views.Current()
 	for _, s := range mean.LeastLoaded {
-		if s.Endpoint != except && !v.draining[s.Endpoint] {
+		if s.Endpoint != except && !v.Draining(s.Endpoint) {
 			return s.Endpoint
 		}
 	}
@@ -300,13 +300,13 @@
 
 // loadGroups returns the model groups of the owned engines with their loads.
 func (r *Router) loadGroups() []aggregator.Group {
-	v := r.current()
-	if v == nil || v.config == nil {
+	v := r.views.Current()
+	if v.Config() == nil {
 		return nil
 	}
 	groups := map[string]*aggregator.Group{}
 	for _, load := range r.dispatch.Report() {
-		engine, ok := v.config.Engine(load.Endpoint)
+		engine, ok := v.Config().Engine(load.Endpoint)
 		if !ok {
 			continue
 		}
@@ -327,11 +327,11 @@
 
 // tokenRate returns the quota of a workspace in tokens per second.
 func (r *Router) tokenRate(workspace string) (float64, bool) {
-	v := r.current()
-	if v == nil || v.config == nil {
+	v := r.views.Current()
+	if v.Config() == nil {
 		return 0, false
 	}
-	w, ok := v.config.Workspace(workspace)
+	w, ok := v.Config().Workspace(workspace)
 	if !ok {
 		return 0, false
 	}
@@ -340,17 +340,17 @@
 
 // serviceEndpoints returns the endpoints of a service that take new work.
 func (r *Router) serviceEndpoints(service string) []caller.Endpoint {
-	v := r.current()
-	if v.config == nil {
+	v := r.views.Current()
+	if v.Config() == nil {
 		return nil
 	}
-	s, ok := v.config.Service(service)
+	s, ok := v.Config().Service(service)
 	if !ok {
 		return nil
 	}
 	var endpoints []caller.Endpoint
 	for _, e := range s.Endpoints() {
-		if !v.draining[e.Name()] {
+		if !v.Draining(e.Name()) {
 			endpoints = append(endpoints, caller.Endpoint{Name: e.Name(), Address: e.Address()})
 		}
 	}
--- a/router/remaining.go
+++ b/router/remaining.go
@@ -47,7 +47,7 @@
 
 // sendRemaining sends one count to the owner of an engine.
 func (r *Router) sendRemaining(ctx context.Context, endpoint string, n int) {
-	owner, ok := (&directory{r}).Owner(endpoint)
+	owner, ok := r.views.Owner(endpoint)
 	if !ok || owner.ID == r.self.ID {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,7 @@
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/server"
 	"github.com/bergamotdale/bergamotdale/sharder"
+	"github.com/bergamotdale/bergamotdale/viewer"
 	"github.com/bergamotdale/bergamotdale/watcher"
 )
 
@@ -70,11 +71,11 @@
 	shards   *sharder.Sharder
 	forward  *forwarder.Forwarder
 	callers  *caller.Caller
+	views    *viewer.Viewer
 	suspects *isolator.Isolator
 	quotas   *quoter.Quoter
 	meter    *meter.Meter
 
-	view    atomic.Pointer[view]
 	started time.Time
 	// drainChecked is the last revision that checkDrain has seen; used by
 	// control only.
@@ -182,6 +183,7 @@
 	// of a new revision within seconds.
 	r.gossiper.Revision = func() int64 { return r.follower.Status().Revision }
 	r.gossiper.Seen = r.follower.Hint
+	r.views = &viewer.Viewer{Self: r.self.ID, Clock: r.clock, Follower: r.follower, Gossiper: r.gossiper, Elector: r.elector, VMs: r.vms}
 	r.loads = aggregator.New(r.self.ID, r.peer, r.gossiper, r.clock)
 	r.loads.Logger = r.Logger.Named("aggregator")
 	r.loads.Groups = r.loadGroups
@@ -204,7 +206,7 @@
 		Quarantine:   r.suspects,
 		Replayer:     replayer.New(r.clock, replayer.Retention, replayer.DefaultBytes),
 		PollInterval: loadPollInterval,
-		Draining:     r.markDraining,
+		Draining:     r.views.MarkDraining,
 	}}
 	r.callers = &caller.Caller{
 		Service:   do.MustInvoke[bergamotdale.Service](i),
@@ -224,10 +226,11 @@
 		},
 		Held:     func(name string) bool { return r.mode(name) == elector.ModeFull },
 		Opened:   r.elector.ConfirmFull,
-		Lifetime: func() time.Duration { return r.current().config.Limits().IdempotencyRecordLifetime },
+		Lifetime: func() time.Duration { return r.views.Current().Config().Limits().IdempotencyRecordLifetime },
 	}
 	r.forward = &forwarder.Forwarder{
-		Directory: &directory{r},
+		Self:      r.self.ID,
+		Directory: r.views,
 		Local:     r.dispatch,
 		Peer:      r.peer,
 		Clock:     r.clock,
--- a/router/server.go
+++ b/router/server.go
@@ -19,7 +19,6 @@
 
 // servers returns the servers of the router: clients, peers and operators.
 func (r *Router) servers() ([]*server.Server, error) {
-	r.view.Store(&view{members: r.gossiper.View()})
 	clients, err := server.New("clients", r.Settings.Listen.Clients, r.Listeners.Clients, r.clientHandler(), r.Logger)
 	if err != nil {
 		return nil, err
