--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -195,3 +195,18 @@
 	}
 	assert.Assert(t, total["large"] > 4000, "the share of an absent router is not used: %v", total)
 }
+
+// Guards against a new owner that trusts a load report of an engine that stood
+// still and has not read all requests of the previous owner (found by make soak
+// SEED=7 DURATION=25s: 10 requests at a limit of 8).
+func TestRemainingRequestsCountBesideTheReport(t *testing.T) {
+	o := limiter.NewOwnership(start)
+	o.Confirm(4)
+	o.Report(limiter.Report{Taken: start.Add(time.Second), Running: 2})
+	assert.Equal(t, o.Limit(8), 4)
+	o.SetRemaining(1)
+	assert.Equal(t, o.Limit(8), 6)
+	o.SetRemaining(0)
+	o.Report(limiter.Report{Taken: start.Add(2 * time.Second)})
+	assert.Equal(t, o.Limit(8), 8)
+}
