all: one place for timeline events and shard names; dead stop removed

Cause: read-through of the whole change. Four packages built the event of a request field by field, three parsed the name of a shard, and Dispatcher.Stop was never called: a planned stop hands engines over instead. Ruled out: one implementation for the stale-mean rule of aggregator.Tighten and placer.Bound; only the second one is in the request path, the first is an assertion of its package's tests, and merging them needs its own look. Change: Completion.Event and ServiceCall.Event, sharder.Number, no Stop.

--- a/admitter/admission.go
+++ b/admitter/admission.go
@@ -437,15 +437,7 @@
 
 // record adds an event of a request to the timeline.
 func (a *Admission) record(j *job, kind, detail string) {
-	a.env.Recorder.Record(bergamotdale.Event{
-		Time:      a.env.Clock.Now(),
-		Kind:      kind,
-		RequestID: j.completion.RequestID,
-		Chat:      j.completion.Chat,
-		Workspace: j.completion.Workspace,
-		Endpoint:  a.assignment.Name,
-		Detail:    detail,
-		Revision:  j.completion.Revision,
-		Epoch:     a.assignment.Epoch,
-	})
+	event := j.completion.Event(a.env.Clock.Now(), kind, detail)
+	event.Endpoint, event.Epoch = a.name, a.assignment.Epoch
+	a.env.Recorder.Record(event)
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -96,13 +96,5 @@
 
 // record adds an event of the call to the timeline.
 func (c *Caller) record(kind string, call bergamotdale.ServiceCall, e Endpoint, detail string) {
-	c.Recorder.Record(bergamotdale.Event{
-		Time:      c.Clock.Now(),
-		Kind:      kind,
-		RequestID: call.RequestID,
-		Workspace: call.Workspace,
-		Endpoint:  e.Name,
-		Detail:    detail,
-		Revision:  call.Revision,
-	})
+	c.Recorder.Record(call.Event(c.Clock.Now(), kind, e.Name, detail))
 }
--- a/completion.go
+++ b/completion.go
@@ -1,6 +1,9 @@
 package bergamotdale
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Completion is a validated chat completion request. The entry router builds
 // it once; it crosses to the owner of the endpoint unchanged, but for Endpoint,
@@ -38,6 +41,20 @@
 	return c.Workspace + "/" + c.RequestID + "/" + c.Fingerprint
 }
 
+// Event returns an event of the request for the timeline.
+func (c Completion) Event(now time.Time, kind, detail string) Event {
+	return Event{
+		Time:      now,
+		Kind:      kind,
+		RequestID: c.RequestID,
+		Chat:      c.Chat,
+		Workspace: c.Workspace,
+		Endpoint:  c.Endpoint,
+		Detail:    detail,
+		Revision:  c.Revision,
+	}
+}
+
 // ServiceCall is a validated call of a plain service.
 type ServiceCall struct {
 	RequestID string `json:"request-id"`
@@ -51,3 +68,16 @@
 	Body        json.RawMessage `json:"body,omitempty"`
 	Revision    int64           `json:"revision"`
 }
+
+// Event returns an event of the call for the timeline.
+func (c ServiceCall) Event(now time.Time, kind, endpoint, detail string) Event {
+	return Event{
+		Time:      now,
+		Kind:      kind,
+		RequestID: c.RequestID,
+		Workspace: c.Workspace,
+		Endpoint:  endpoint,
+		Detail:    detail,
+		Revision:  c.Revision,
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,7 +28,6 @@
 
 	mu         sync.Mutex
 	admissions map[string]*admitter.Admission
-	stopping   bool
 	jobs       sync.WaitGroup
 	// readers counts the open streams of each running request.
 	readers map[string]*audience
@@ -104,14 +103,11 @@
 		return d.attach(stream, c), nil
 	}
 	d.mu.Lock()
-	a, stopping := d.admissions[c.Endpoint], d.stopping
+	a := d.admissions[c.Endpoint]
 	d.mu.Unlock()
 	if a == nil {
 		return nil, bergamotdale.Refuse(bergamotdale.CodeNotOwner, "this router does not own %s", c.Endpoint)
 	}
-	if stopping {
-		return nil, bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping")
-	}
 	if refusal := d.Quarantine.Refusal(c.Fingerprint); refusal != nil {
 		return nil, refusal
 	}
@@ -201,13 +197,6 @@
 	}
 }
 
-// Stop refuses new requests from now on. Running and queued ones finish.
-func (d *Dispatcher) Stop() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.stopping = true
-}
-
 // Drain blocks until every request has ended or the context is done.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	done := make(chan struct{})
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -18,12 +16,10 @@
 	"github.com/bergamotdale/bergamotdale/dispatcher"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
 	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/sharder"
 	"github.com/bergamotdale/bergamotdale/viewer"
 )
 
-// shardNamePrefix tells shards from engines among owned names.
-const shardNamePrefix = "shard/"
-
 // Version is the version of the program, set by the linker.
 var Version = "development"
 
@@ -108,8 +104,7 @@
 func (e *Explainer) ownedShards() []int32 {
 	var shards []int32
 	for name := range e.Views.Elector.Held() {
-		number, err := strconv.Atoi(strings.TrimPrefix(name, shardNamePrefix))
-		if err == nil && strings.HasPrefix(name, shardNamePrefix) {
+		if number, ok := sharder.Number(name); ok {
 			shards = append(shards, int32(number))
 		}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -291,14 +291,7 @@
 
 // record adds an event of the request to the timeline.
 func (r *route) record(kind, detail string) {
-	r.forwarder.Recorder.Record(bergamotdale.Event{
-		Time:      r.forwarder.Clock.Now(),
-		Kind:      kind,
-		RequestID: r.completion.RequestID,
-		Chat:      r.completion.Chat,
-		Workspace: r.completion.Workspace,
-		Endpoint:  r.endpoints[0],
-		Detail:    detail,
-		Revision:  r.completion.Revision,
-	})
+	event := r.completion.Event(r.forwarder.Clock.Now(), kind, detail)
+	event.Endpoint = r.endpoints[0]
+	r.forwarder.Recorder.Record(event)
 }
--- a/router/backend.go
+++ b/router/backend.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.router.record("request-accepted", c.RequestID, c.Chat, c.Workspace, c.Revision, "model "+c.Model+", class "+c.PriorityClass)
+	b.router.recorder.Record(c.Event(b.router.clock.Now(), "request-accepted", "model "+c.Model+", class "+c.PriorityClass))
 	stream, err := b.router.forward.Complete(ctx, c)
 	if err != nil {
 		admission.Refund()
@@ -125,7 +125,7 @@
 	if !ok {
 		return bergamotdale.ServiceResponse{}, bergamotdale.Refuse(bergamotdale.CodeUnknownService, "service %q has no call %q", c.Service, c.Call)
 	}
-	b.router.record("service-call-accepted", c.RequestID, "", c.Workspace, c.Revision, c.Service+"/"+c.Call)
+	b.router.recorder.Record(c.Event(b.router.clock.Now(), "service-call-accepted", "", c.Service+"/"+c.Call))
 	if call.Idempotent() {
 		b.router.forward.Budget.First()
 		return b.router.callers.Call(ctx, c, true)
@@ -150,16 +150,3 @@
 	}
 	return nil
 }
-
-// record adds an event of a request to the timeline.
-func (r *Router) record(kind, requestID, chat, workspace string, revision int64, detail string) {
-	r.recorder.Record(bergamotdale.Event{
-		Time:      r.clock.Now(),
-		Kind:      kind,
-		RequestID: requestID,
-		Chat:      chat,
-		Workspace: workspace,
-		Detail:    detail,
-		Revision:  revision,
-	})
-}
--- a/router/control.go
+++ b/router/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/samber/lo"
@@ -16,6 +15,7 @@
 	"github.com/bergamotdale/bergamotdale/elector"
 	"github.com/bergamotdale/bergamotdale/placer"
 	"github.com/bergamotdale/bergamotdale/scheduler"
+	"github.com/bergamotdale/bergamotdale/sharder"
 	"github.com/bergamotdale/bergamotdale/validator"
 	"github.com/bergamotdale/bergamotdale/viewer"
 )
@@ -32,8 +32,6 @@
 	settleTimeout = 15 * time.Second
 	// refreshTimeout bounds the wait for an up-to-date mean.
 	refreshTimeout = 200 * time.Millisecond
-	// shardNamePrefix tells shards from engines among owned names.
-	shardNamePrefix = "shard/"
 	// queuedPerSlot bounds the waiting requests of a class per engine slot. The
 	// longest wait bounds the queue in time; this bounds its memory.
 	queuedPerSlot = 32
@@ -152,7 +150,7 @@
 func shardEpochs(held map[string]elector.Holding) map[string]int64 {
 	epochs := map[string]int64{}
 	for name, h := range held {
-		if strings.HasPrefix(name, shardNamePrefix) {
+		if _, ok := sharder.Number(name); ok {
 			epochs[name] = h.Epoch
 		}
 	}
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -32,6 +32,17 @@
 	return namePrefix + strconv.Itoa(shard)
 }
 
+// Number returns the number of the shard with the ownership name. It is false
+// for the name of an endpoint.
+func Number(name string) (int, bool) {
+	text, ok := strings.CutPrefix(name, namePrefix)
+	if !ok {
+		return 0, false
+	}
+	number, err := strconv.Atoi(text)
+	return number, err == nil
+}
+
 // Names returns the ownership names of all shards.
 func Names() []string {
 	names := make([]string, committer.Shards)
@@ -125,8 +136,8 @@
 
 // start opens a shard in the background.
 func (s *Sharder) start(name string, epoch int64) {
-	number, err := strconv.Atoi(strings.TrimPrefix(name, namePrefix))
-	if err != nil {
+	number, ok := Number(name)
+	if !ok {
 		s.Logger.Error("not a shard", zap.String("name", name))
 		return
 	}
