all: gateway that forwards by host and path; platform adapter

Cause: the users' platform speaks HTTP requests routed by host and path, with a key-value store of its own; the product had neither. Change: packages platform, subscriber, matcher, screener, balancer, tracker, dialer, framer, relayer, exchanger and gateway; deploy files. peerserver is split from router so that both kinds of router serve peers with one copy.

--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -13,15 +13,20 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/commander"
+	"github.com/bergamotdale/bergamotdale/gateway"
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/logger"
+	"github.com/bergamotdale/bergamotdale/platform"
 	"github.com/bergamotdale/bergamotdale/recorder"
 	"github.com/bergamotdale/bergamotdale/router"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	c := commander.Commander{Stdout: os.Stdout, Stderr: os.Stderr, RunRouter: runRouter, Now: time.Now}
+	c := commander.Commander{
+		Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now,
+		RunRouter: runRouter, RunGateway: runGateway, GatewaySettings: platform.SettingsFile(),
+	}
 	code := c.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
@@ -42,3 +47,19 @@
 	}
 	return errors.Trace(r.Run(ctx))
 }
+
+// runGateway runs a gateway on the platform until the context is done.
+func runGateway(ctx context.Context, s *loader.GatewaySettings) error {
+	log, err := logger.New(os.Stdout, s.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer log.Sync()
+	g := &gateway.Gateway{
+		Settings: s,
+		Logger:   log.With(zap.String("router", s.ID)),
+		Adapters: gateway.NewAdapters(&platform.Store{Address: s.Store}, platform.Dialect{}, platform.Layout()),
+		Elapsed:  gateway.Elapsed,
+	}
+	return errors.Trace(g.Run(ctx))
+}
--- a/code.go
+++ b/code.go
@@ -30,6 +30,7 @@
 	CodeMissingKey         Code = 104
 	CodeKeyReused          Code = 105
 	CodeInvalidCredentials Code = 106
+	CodeHeaderTooLarge     Code = 107
 )
 
 // Results that depend on the configuration in force.
@@ -40,6 +41,8 @@
 	CodeUnknownPriorityClass Code = 204
 	CodeModelNotAllowed      Code = 205
 	CodeNoConfiguration      Code = 206
+	CodeUnknownRoute         Code = 207
+	CodeKeysNotConfirmed     Code = 208
 )
 
 // Results of admission control.
@@ -93,12 +96,15 @@
 	CodeMissingKey:           {"missing-idempotency-key", http.StatusBadRequest, false},
 	CodeKeyReused:            {"idempotency-key-reused", http.StatusUnprocessableEntity, false},
 	CodeInvalidCredentials:   {"invalid-credentials", http.StatusUnauthorized, false},
+	CodeHeaderTooLarge:       {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, false},
 	CodeUnknownWorkspace:     {"unknown-workspace", http.StatusNotFound, false},
 	CodeUnknownModel:         {"unknown-model", http.StatusNotFound, false},
 	CodeUnknownService:       {"unknown-service", http.StatusNotFound, false},
 	CodeUnknownPriorityClass: {"unknown-priority-class", http.StatusBadRequest, false},
 	CodeModelNotAllowed:      {"model-not-allowed", http.StatusForbidden, false},
 	CodeNoConfiguration:      {"no-configuration", http.StatusServiceUnavailable, true},
+	CodeUnknownRoute:         {"unknown-route", http.StatusNotFound, false},
+	CodeKeysNotConfirmed:     {"keys-not-confirmed", http.StatusServiceUnavailable, true},
 	CodeOverloaded:           {"overloaded", http.StatusServiceUnavailable, true},
 	CodeWaitTooLong:          {"wait-too-long", http.StatusServiceUnavailable, true},
 	CodeQuotaExceeded:        {"quota-exceeded", http.StatusTooManyRequests, true},
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -33,6 +33,10 @@
 	Stderr io.Writer
 	// RunRouter runs a router until the context is done.
 	RunRouter func(ctx context.Context, s *loader.Settings) error
+	// RunGateway runs a gateway until the context is done, and GatewaySettings
+	// is its settings file unless --settings names another.
+	RunGateway      func(ctx context.Context, s *loader.GatewaySettings) error
+	GatewaySettings string
 	// Now returns the time that relative times count from.
 	Now func() time.Time
 
@@ -58,6 +62,7 @@
 	until    string
 	limit    int
 	settings string
+	gateway  bool
 }
 
 // command is a subcommand and what it does.
@@ -126,13 +131,19 @@
 	timeline.Int(&c.flags.limit, "", "limit", "largest number of events of each router")
 	router := subcommand("router", "run a router")
 	router.String(&c.flags.settings, "", "settings", "settings file")
+	gateway := subcommand("gateway", "run a router that forwards requests by host and path")
+	gateway.String(&c.flags.settings, "", "settings", "settings file (default: the one that the platform names)")
+	checkSettings := subcommand("check", "check a settings file and print every fault")
+	checkSettings.AddPositionalValue(&c.flags.file, "FILE", 1, true, "settings file of a router or gateway")
+	checkSettings.Bool(&c.flags.gateway, "", "gateway", "the file is that of a gateway")
 	about := subcommand("version", "print the version")
-	for _, sc := range []*flaggy.Subcommand{config, status, timeline, router, about} {
+	for _, sc := range []*flaggy.Subcommand{config, status, timeline, router, gateway, checkSettings, about} {
 		parser.AttachSubcommand(sc, 1)
 	}
 	return []command{
 		{get, c.get}, {check, c.check}, {apply, c.apply}, {history, c.history}, {wait, c.wait},
-		{status, c.status}, {timeline, c.timeline}, {router, c.router}, {about, c.about},
+		{status, c.status}, {timeline, c.timeline}, {router, c.router}, {gateway, c.gateway},
+		{checkSettings, c.checkSettings}, {about, c.about},
 	}
 }
 
@@ -186,3 +197,33 @@
 	}
 	return c.RunRouter(ctx, s)
 }
+
+func (c *Commander) gateway(ctx context.Context) error {
+	file := c.flags.settings
+	if file == "" {
+		file = c.GatewaySettings
+	}
+	if file == "" {
+		return invalid("--settings is missing")
+	}
+	s, err := loader.ReadGatewaySettings(file)
+	if err != nil {
+		return errors.WithType(err, errInvalid)
+	}
+	return c.RunGateway(ctx, s)
+}
+
+// checkSettings reads a settings file and reports every fault.
+func (c *Commander) checkSettings(context.Context) error {
+	var err error
+	if c.flags.gateway {
+		_, err = loader.ReadGatewaySettings(c.flags.file)
+	} else {
+		_, err = loader.ReadSettings(c.flags.file)
+	}
+	if err != nil {
+		return errors.WithType(err, errInvalid)
+	}
+	c.printf("%s: no faults\n", c.flags.file)
+	return nil
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -23,6 +23,7 @@
 	meter     metric.Meter
 	requests  metric.Int64Counter
 	durations metric.Float64Histogram
+	firsts    metric.Float64Histogram
 }
 
 // New creates the instruments and their scrape endpoint.
@@ -41,9 +42,28 @@
 	}
 	m.durations, err = meter.Float64Histogram("bergamotdale.request.duration",
 		metric.WithUnit("s"), metric.WithDescription("time to the end of the response"))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m.firsts, err = meter.Float64Histogram("bergamotdale.request.first-byte",
+		metric.WithUnit("s"), metric.WithDescription("time to the first byte of an endpoint's response"))
 	return m, errors.Trace(err)
 }
 
+// Finished records a request that was forwarded or refused. first is zero
+// without a response of an endpoint.
+func (m *Meter) Finished(kind, outcome string, status int, first, total time.Duration) {
+	ctx := context.Background()
+	attributes := metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome),
+		attribute.String("status", strconv.Itoa(status)))
+	m.requests.Add(ctx, 1, attributes)
+	labels := metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome))
+	m.durations.Record(ctx, total.Seconds(), labels)
+	if first > 0 {
+		m.firsts.Record(ctx, first.Seconds(), labels)
+	}
+}
+
 // Handler serves the metrics.
 func (m *Meter) Handler() http.Handler {
 	return m.handler
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -21,20 +21,34 @@
 // Budget is the retry budget of a router. Its methods may be called
 // concurrently.
 type Budget struct {
-	lock   sync.Mutex
-	bucket throttler.Bucket
+	perRequest float64
+	lock       sync.Mutex
+	bucket     throttler.Bucket
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a full budget of the default size.
 func NewBudget() *Budget {
-	return &Budget{bucket: throttler.New(BudgetCapacity, 0, BudgetCapacity, time.Time{})}
+	return NewBudgetOf(BudgetCapacity, BudgetPerRequest)
+}
+
+// NewBudgetOf returns a full budget that holds at most capacity retries and
+// gains perRequest with each first attempt.
+func NewBudgetOf(capacity, perRequest float64) *Budget {
+	return &Budget{perRequest: perRequest, bucket: throttler.New(capacity, 0, capacity, time.Time{})}
+}
+
+// SetCapacity changes how many retries the budget holds.
+func (b *Budget) SetCapacity(capacity float64) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.bucket.SetRate(time.Time{}, capacity, 0)
 }
 
 // First records the first attempt of a request.
 func (b *Budget) First() {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.bucket.Add(BudgetPerRequest)
+	b.bucket.Add(b.perRequest)
 }
 
 // Take removes the token of one retry if there is one.
--- a/router/peers.go
+++ b/router/peers.go
@@ -4,9 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/danielgtaylor/huma/v2"
-	"github.com/danielgtaylor/huma/v2/adapters/humago"
-
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/aggregator"
 	"github.com/bergamotdale/bergamotdale/elector"
@@ -15,6 +12,7 @@
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/operator"
 	"github.com/bergamotdale/bergamotdale/peerclient"
+	"github.com/bergamotdale/bergamotdale/peerserver"
 	"github.com/bergamotdale/bergamotdale/quoter"
 	"github.com/bergamotdale/bergamotdale/recorder"
 	"github.com/bergamotdale/bergamotdale/sharder"
@@ -23,35 +21,32 @@
 // peerHandler serves the messages of other routers.
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	config := huma.DefaultConfig("bergamotdale peers", "v1")
-	config.CreateHooks = nil
-	config.DocsPath, config.OpenAPIPath, config.SchemasPath = "", "", ""
-	api := humago.New(mux, config)
+	api := peerserver.New(mux)
 	limit := int64(r.Settings.Limits.PeerBody)
-	handle(api, limit, gossiper.PingPath, func(_ context.Context, m gossiper.PingRequest) (gossiper.PingResponse, error) {
+	peerserver.Handle(api, limit, gossiper.PingPath, func(_ context.Context, m gossiper.PingRequest) (gossiper.PingResponse, error) {
 		return r.gossiper.HandlePing(m), nil
 	})
-	handle(api, limit, gossiper.IndirectPath, func(ctx context.Context, m gossiper.IndirectRequest) (gossiper.IndirectResponse, error) {
+	peerserver.Handle(api, limit, gossiper.IndirectPath, func(ctx context.Context, m gossiper.IndirectRequest) (gossiper.IndirectResponse, error) {
 		return r.gossiper.HandleIndirect(ctx, m), nil
 	})
-	handle(api, limit, elector.HandoverPath, func(ctx context.Context, m elector.HandoverRequest) (elector.HandoverResponse, error) {
+	peerserver.Handle(api, limit, elector.HandoverPath, func(ctx context.Context, m elector.HandoverRequest) (elector.HandoverResponse, error) {
 		return r.elector.HandleHandover(ctx, m), nil
 	})
-	handle(api, limit, elector.ClaimNoticePath, func(_ context.Context, m elector.ClaimNotice) (elector.ClaimNoticeResponse, error) {
+	peerserver.Handle(api, limit, elector.ClaimNoticePath, func(_ context.Context, m elector.ClaimNotice) (elector.ClaimNoticeResponse, error) {
 		return r.elector.HandleClaimNotice(m), nil
 	})
-	handle(api, limit, aggregator.LoadPath, func(_ context.Context, m aggregator.LoadRequest) (aggregator.LoadResponse, error) {
+	peerserver.Handle(api, limit, aggregator.LoadPath, func(_ context.Context, m aggregator.LoadRequest) (aggregator.LoadResponse, error) {
 		return r.loads.HandleLoad(m), nil
 	})
-	handle(api, limit, quoter.Path, func(_ context.Context, m quoter.Request) (quoter.Response, error) {
+	peerserver.Handle(api, limit, quoter.Path, func(_ context.Context, m quoter.Request) (quoter.Response, error) {
 		return r.quotas.Handle(m), nil
 	})
-	handle(api, limit, "config", r.follower.HandleConfig)
-	handle(api, limit, "status", func(ctx context.Context, m follower.StatusRequest) (follower.Status, error) {
+	peerserver.Handle(api, limit, "config", r.follower.HandleConfig)
+	peerserver.Handle(api, limit, "status", func(ctx context.Context, m follower.StatusRequest) (follower.Status, error) {
 		return r.follower.HandleStatus(ctx, m)
 	})
-	handle(api, limit, "commit", r.handleCommit)
-	handle(api, limit, remainingPath, r.handleRemaining)
+	peerserver.Handle(api, limit, "commit", r.handleCommit)
+	peerserver.Handle(api, limit, remainingPath, r.handleRemaining)
 	mux.HandleFunc("POST "+peerclient.BasePath+"forward", r.handleForward)
 	if ring, ok := r.recorder.(*recorder.Ring); ok {
 		mux.Handle("GET "+operator.EventsPath, ring.Handler())
@@ -59,52 +54,6 @@
 	return mux
 }
 
-// peerInput and peerOutput carry a message and its response.
-type peerInput[T any] struct {
-	Body T
-}
-
-type peerOutput[T any] struct {
-	Body T
-}
-
-// handle registers the handler of a message between routers.
-func handle[Request, Response any](api huma.API, limit int64, path string, f func(context.Context, Request) (Response, error)) {
-	huma.Register(api, huma.Operation{
-		OperationID:  "peer-" + path,
-		Method:       http.MethodPost,
-		Path:         peerclient.BasePath + path,
-		MaxBodyBytes: limit,
-		// Routers of different versions ignore what they do not know.
-		SkipValidateBody: true,
-	}, func(ctx context.Context, in *peerInput[Request]) (*peerOutput[Response], error) {
-		response, err := f(ctx, in.Body)
-		if err != nil {
-			return nil, newPeerError(err)
-		}
-		return &peerOutput[Response]{Body: response}, nil
-	})
-}
-
-// peerError is a refusal as the body of a response to another router.
-type peerError struct {
-	bergamotdale.WireRefusal
-}
-
-func newPeerError(err error) *peerError {
-	return &peerError{*bergamotdale.AsRefusal(err).Wire("")}
-}
-
-// Error implements error.
-func (e *peerError) Error() string {
-	return e.Message
-}
-
-// GetStatus implements huma.StatusError.
-func (e *peerError) GetStatus() int {
-	return e.Code.HTTPStatus()
-}
-
 // handleCommit executes a call under a shard of this router.
 func (r *Router) handleCommit(ctx context.Context, c bergamotdale.ServiceCall) (forwarder.CommitResponse, error) {
 	response, err := r.shards.Execute(ctx, c)
--- a/server/server.go
+++ b/server/server.go
@@ -17,8 +17,14 @@
 	// readHeaderTimeout bounds how long a connection may take to send the
 	// headers of a request.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is above the time for which well-behaved clients keep an idle
+	// connection, so that the router rarely closes one that is about to be used.
+	idleTimeout = 90 * time.Second
 )
 
+// keepAlive finds clients and peers that are gone while they hold a request.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
 // Server is an HTTP server in a run group.
 type Server struct {
 	name     string
@@ -35,7 +41,8 @@
 	listener := open
 	if listener == nil {
 		var err error
-		listener, err = net.Listen("tcp", address)
+		config := net.ListenConfig{KeepAliveConfig: keepAlive}
+		listener, err = config.Listen(context.Background(), "tcp", address)
 		if err != nil {
 			return nil, errors.Annotatef(err, "listening for %s", name)
 		}
@@ -52,6 +59,7 @@
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
 			Protocols:         protocols,
 			ErrorLog:          zap.NewStdLog(logger.Named(name)),
 		},
@@ -82,3 +90,9 @@
 		s.logger.Warn("server closed with open requests", zap.String("server", s.name), zap.Error(err))
 	}
 }
+
+// DisableKeepAlives makes the server close each connection after its next
+// response, so that clients move to another server.
+func (s *Server) DisableKeepAlives() {
+	s.http.SetKeepAlivesEnabled(false)
+}
--- a/store.go
+++ b/store.go
@@ -17,6 +17,9 @@
 	ErrAmbiguous = errors.ConstError("write outcome unknown")
 	// ErrUnavailable is returned where the store did not execute the call.
 	ErrUnavailable = errors.ConstError("store unavailable")
+	// ErrCompacted is returned where the store no longer has the history that a
+	// follower of changes asks for.
+	ErrCompacted = errors.ConstError("history compacted")
 )
 
 // LeaseID identifies a lease of the store.
@@ -56,3 +59,29 @@
 	// PutWithLease writes a key that is deleted when the lease ends.
 	PutWithLease(ctx context.Context, key string, value []byte, id LeaseID) error
 }
+
+// Change is a change of one key of the store.
+type Change struct {
+	Entry
+	// Deleted states that the key no longer exists.
+	Deleted bool
+}
+
+// ChangeStore is a store whose changes can be followed by key prefix.
+type ChangeStore interface {
+	// Range returns the entries whose keys start with the prefix, and a
+	// revision from which Changes misses nothing.
+	Range(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Changes blocks until a key with the prefix has changed after the
+	// revision, or until wait has passed. It returns the changes in order and
+	// the revision to continue from, or ErrCompacted.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+}
+
+// Layout names the keys of the store that the platform and the fleet share.
+type Layout struct {
+	// ConfigKey holds the traffic configuration.
+	ConfigKey string
+	// EndpointPrefix is followed by the id of an endpoint.
+	EndpointPrefix string
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,247 @@
+// Package tracker keeps what a router knows about the endpoints that it sends
+// requests to: the requests in flight, from itself and from other routers, and
+// how the latest ones ended.
+package tracker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bergamotdale/bergamotdale/balancer"
+	"github.com/bergamotdale/bergamotdale/ejector"
+	"github.com/bergamotdale/bergamotdale/subscriber"
+)
+
+const (
+	// firstSuspension is how long an endpoint gets no work after its first
+	// failed connection. It doubles with each further one up to maxSuspension,
+	// which is below the usual restart time of an endpoint.
+	firstSuspension = 500 * time.Millisecond
+	maxSuspension   = 4 * time.Second
+	// peerExpiry is how long the load that another router reported counts. A
+	// router that is gone must not occupy endpoints for longer.
+	peerExpiry = 2 * time.Second
+	// ejectInterval, ejectFraction and ejectRequests make outliers visible
+	// within seconds while a third of a group stays whole at least.
+	ejectInterval = time.Second
+	ejectFraction = 0.34
+	ejectRequests = 4
+)
+
+// Result tells how a request at an endpoint ended.
+type Result struct {
+	// Failed states that the endpoint did not complete the request.
+	Failed bool
+	// Latency does not depend on the size of the request; zero if unknown.
+	Latency time.Duration
+}
+
+// endpoint is the state of one endpoint.
+type endpoint struct {
+	service string
+	// inFlight counts the requests of this router.
+	inFlight int
+	// failures counts the connections that failed in a row.
+	failures       int
+	suspendedUntil time.Time
+	incarnation    int64
+	summary        ejector.Summary
+}
+
+// peerLoad is what another router has in flight.
+type peerLoad struct {
+	loads map[string]int
+	at    time.Time
+}
+
+// Tracker holds the state of all endpoints. Its methods may be called
+// concurrently.
+type Tracker struct {
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	peers     map[string]peerLoad
+	groups    map[string]*ejector.Group
+}
+
+// New returns an empty tracker.
+func New() *Tracker {
+	return &Tracker{
+		endpoints: map[string]*endpoint{},
+		peers:     map[string]peerLoad{},
+		groups:    map[string]*ejector.Group{},
+	}
+}
+
+// Update takes in the endpoints that exist now.
+func (t *Tracker) Update(now time.Time, state *subscriber.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := map[string]bool{}
+	for _, e := range state.All() {
+		present[e.ID] = true
+		known, ok := t.endpoints[e.ID]
+		if ok && known.incarnation == e.Incarnation {
+			continue
+		}
+		t.group(now, e.Service).Join(now, e.ID, false)
+		fresh := &endpoint{service: e.Service, incarnation: e.Incarnation}
+		if ok {
+			fresh.inFlight = known.inFlight
+		}
+		t.endpoints[e.ID] = fresh
+	}
+	for id, e := range t.endpoints {
+		if !present[id] && e.inFlight == 0 {
+			t.group(now, e.service).Leave(id)
+			delete(t.endpoints, id)
+		}
+	}
+}
+
+func (t *Tracker) group(now time.Time, service string) *ejector.Group {
+	g := t.groups[service]
+	if g == nil {
+		g = ejector.New(now, ejector.Config{
+			Interval: ejectInterval, MaxFraction: ejectFraction, MinRequests: ejectRequests,
+		})
+		t.groups[service] = g
+	}
+	return g
+}
+
+// Candidates returns the endpoints that may get new work, in the same order as
+// the returned records. Those in exclude are left out.
+func (t *Tracker) Candidates(
+	now time.Time, endpoints []subscriber.Endpoint, domain string, exclude map[string]bool,
+) ([]balancer.Candidate, []subscriber.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := make([]balancer.Candidate, 0, len(endpoints))
+	records := make([]subscriber.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !e.Usable(now) || exclude[e.ID] {
+			continue
+		}
+		c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Weight: 1, Near: e.FailureDomain == domain}
+		if known := t.endpoints[e.ID]; known != nil {
+			c.Load = known.inFlight
+			c.Suspended = now.Before(known.suspendedUntil)
+			c.Weight = t.group(now, e.Service).State(e.ID).Weight
+		}
+		c.Load += t.peerLoad(now, e.ID)
+		candidates = append(candidates, c)
+		records = append(records, e)
+	}
+	return candidates, records
+}
+
+func (t *Tracker) peerLoad(now time.Time, id string) int {
+	sum := 0
+	for _, p := range t.peers {
+		if now.Sub(p.at) < peerExpiry {
+			sum += p.loads[id]
+		}
+	}
+	return sum
+}
+
+// Begin counts a request of this router.
+func (t *Tracker) Begin(id, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known(id, service).inFlight++
+}
+
+// End removes a request of this router and takes in how it ended.
+func (t *Tracker) End(id, service string, r Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.known(id, service)
+	e.inFlight--
+	e.summary.Requests++
+	if r.Failed {
+		e.summary.Failures++
+	} else {
+		e.failures = 0
+		e.suspendedUntil = time.Time{}
+	}
+	if r.Latency > 0 {
+		// The mean weighs the latest latency by a quarter.
+		if e.summary.Latency == 0 {
+			e.summary.Latency = r.Latency
+		}
+		e.summary.Latency += (r.Latency - e.summary.Latency) / 4
+	}
+}
+
+// Unreachable suspends an endpoint whose connection could not be opened or went
+// silent. It returns for how long.
+func (t *Tracker) Unreachable(now time.Time, id, service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.known(id, service)
+	if now.Before(e.suspendedUntil) {
+		return e.suspendedUntil.Sub(now)
+	}
+	d := min(maxSuspension, firstSuspension<<min(e.failures, 8))
+	e.failures++
+	e.suspendedUntil = now.Add(d)
+	return d
+}
+
+func (t *Tracker) known(id, service string) *endpoint {
+	e := t.endpoints[id]
+	if e == nil {
+		e = &endpoint{service: service}
+		t.endpoints[id] = e
+	}
+	return e
+}
+
+// Evaluate weakens endpoints that are slow or fail more often than the others
+// of their service. It is called about once a second.
+func (t *Tracker) Evaluate(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.endpoints {
+		if e.summary.Requests > 0 {
+			t.group(now, e.service).Observe(id, e.summary)
+			e.summary = ejector.Summary{Latency: e.summary.Latency}
+		}
+	}
+	weakened := map[string]float64{}
+	for _, g := range t.groups {
+		g.Evaluate(now)
+	}
+	for id, e := range t.endpoints {
+		if w := t.group(now, e.service).State(id).Weight; w < 1 {
+			weakened[id] = w
+		}
+	}
+	return weakened
+}
+
+// InFlight returns the requests of this router by endpoint.
+func (t *Tracker) InFlight() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := map[string]int{}
+	for id, e := range t.endpoints {
+		if e.inFlight > 0 {
+			loads[id] = e.inFlight
+		}
+	}
+	return loads
+}
+
+// Merge takes in the requests that another router has in flight.
+func (t *Tracker) Merge(now time.Time, router string, loads map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[router] = peerLoad{loads: loads, at: now}
+	for id, p := range t.peers {
+		if now.Sub(p.at) >= peerExpiry {
+			delete(t.peers, id)
+		}
+	}
+}
