--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -49,17 +49,22 @@
 }
 
 // runGateway runs a gateway on the platform until the context is done.
-func runGateway(ctx context.Context, s *loader.GatewaySettings) error {
+func runGateway(ctx context.Context, file string, s *loader.GatewaySettings) error {
 	log, err := logger.New(os.Stdout, s.LogLevel)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer log.Sync()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	g := &gateway.Gateway{
 		Settings: s,
 		Logger:   log.With(zap.String("router", s.ID)),
 		Adapters: gateway.NewAdapters(&platform.Store{Address: s.Store}, platform.Dialect{}, platform.Layout()),
 		Elapsed:  gateway.Elapsed,
+		File:     file,
+		Reload:   reload,
 	}
 	return errors.Trace(g.Run(ctx))
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -35,7 +35,7 @@
 	RunRouter func(ctx context.Context, s *loader.Settings) error
 	// RunGateway runs a gateway until the context is done, and GatewaySettings
 	// is its settings file unless --settings names another.
-	RunGateway      func(ctx context.Context, s *loader.GatewaySettings) error
+	RunGateway      func(ctx context.Context, file string, s *loader.GatewaySettings) error
 	GatewaySettings string
 	// Now returns the time that relative times count from.
 	Now func() time.Time
@@ -210,7 +210,7 @@
 	if err != nil {
 		return errors.WithType(err, errInvalid)
 	}
-	return c.RunGateway(ctx, s)
+	return c.RunGateway(ctx, file, s)
 }
 
 // checkSettings reads a settings file and reports every fault.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 	"github.com/bergamotdale/bergamotdale/meter"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/relayer"
+	"github.com/bergamotdale/bergamotdale/reloader"
 	"github.com/bergamotdale/bergamotdale/server"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
@@ -52,6 +54,9 @@
 	Adapters do.Injector
 	// Elapsed returns a time that also runs while the VM is suspended.
 	Elapsed func() time.Duration
+	// File is the settings file to read again, and Reload the signal to do so.
+	File   string
+	Reload <-chan os.Signal
 
 	clock     bergamotdale.Clock
 	self      bergamotdale.Member
@@ -82,7 +87,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, part := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.evaluate} {
+	for _, part := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.evaluate, g.reload} {
 		partCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
@@ -144,21 +149,38 @@
 		Tracker:    g.tracker,
 		Dialer:     g.dialer,
 		Quarantine: g.suspects,
-		Limits: relayer.Limits{
-			MaxKeyAge:    g.Settings.Promises.KeyRevocation,
-			LoadMultiple: g.Settings.Promises.LoadMultiple,
-			RetryRatio:   g.Settings.Promises.RetryRatio,
-			RetrySlack:   g.Settings.Promises.RetrySlack,
-		},
 		Clock:    g.clock,
 		Logger:   g.Logger.Named("relayer"),
 		Routers:  func() int { return max(1, len(g.gossiper.Live())) },
 		Refusing: g.refusing,
 		Finished: func(r relayer.Report) { g.meter.Finished(string(r.Kind), r.Outcome, r.Status, r.First, r.Total) },
 	}
+	g.apply(g.Settings)
 	return nil
 }
 
+// apply puts settings into force that may change while the gateway runs.
+func (g *Gateway) apply(s *loader.GatewaySettings) {
+	g.relayer.SetLimits(relayer.Limits{
+		MaxKeyAge:    s.Promises.KeyRevocation,
+		LoadMultiple: s.Promises.LoadMultiple,
+		RetryRatio:   s.Promises.RetryRatio,
+		RetrySlack:   s.Promises.RetrySlack,
+	})
+	if s.Listen != g.Settings.Listen || s.ID != g.Settings.ID || s.Store != g.Settings.Store {
+		g.Logger.Warn("changed addresses are in force after a restart", zap.String("store", s.Store))
+	}
+}
+
+// reload applies changed settings until the context is done.
+func (g *Gateway) reload(ctx context.Context) error {
+	r := &reloader.Reloader[loader.GatewaySettings]{
+		File: g.File, Parse: loader.ParseGatewaySettings, Apply: g.apply, Signal: g.Reload, Clock: g.clock,
+		Logger: g.Logger.Named("reloader"),
+	}
+	return r.Run(ctx)
+}
+
 // seeds are the addresses of routers to contact first.
 type seeds []string
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,7 +80,6 @@
 	Tracker    *tracker.Tracker
 	Dialer     *dialer.Dialer
 	Quarantine Quarantine
-	Limits     Limits
 	Clock      bergamotdale.Clock
 	Logger     *zap.Logger
 	// Routers returns the number of live routers, at least 1.
@@ -89,10 +89,16 @@
 	// Finished is called after each request.
 	Finished func(Report)
 
+	limits atomic.Pointer[Limits]
+
 	mu      sync.Mutex
 	budgets map[string]*retrier.Budget
 }
 
+// SetLimits puts limits into force. It is called before the first request, and
+// again when the settings change.
+func (r *Relayer) SetLimits(l Limits) { r.limits.Store(&l) }
+
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relayer: r, writer: w, request: req, arrival: r.Clock.Now(), tried: map[string]bool{}}
@@ -119,10 +125,11 @@
 	if r.budgets == nil {
 		r.budgets = map[string]*retrier.Budget{}
 	}
-	capacity := max(1, r.Limits.RetrySlack*retrySlackShare/float64(max(1, r.Routers())))
+	limits := r.limits.Load()
+	capacity := max(1, limits.RetrySlack*retrySlackShare/float64(max(1, r.Routers())))
 	b := r.budgets[service]
 	if b == nil {
-		b = retrier.NewBudgetOf(capacity, r.Limits.RetryRatio*retryPerRequest)
+		b = retrier.NewBudgetOf(capacity, limits.RetryRatio*retryPerRequest)
 		r.budgets[service] = b
 	}
 	b.SetCapacity(capacity)
@@ -132,10 +139,10 @@
 // knowledge returns what the router knows now.
 func (r *Relayer) knowledge() screener.Knowledge {
 	age, _ := r.Directory.Age()
-	return screener.Knowledge{Table: r.Directory.State().Table, Age: age, MaxKeyAge: r.Limits.MaxKeyAge}
+	return screener.Knowledge{Table: r.Directory.State().Table, Age: age, MaxKeyAge: r.limits.Load().MaxKeyAge}
 }
 
 // bound returns the load bound of model engines.
 func (r *Relayer) bound() balancer.Bound {
-	return balancer.Bound{Multiple: r.Limits.LoadMultiple}
+	return balancer.Bound{Multiple: r.limits.Load().LoadMultiple}
 }
