locator, relayer: engines copy shared prompt parts from their last holder

Ruled out: a tighter placement alone cannot help keys whose engine leaves. Change: a request that goes to another engine than the last holder of its prompt's beginning names that holder, and the engine copies from it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/isolator"
 	"github.com/bergamotdale/bergamotdale/loader"
+	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/meter"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/relayer"
@@ -147,13 +148,14 @@
 		Dialect:    dialect,
 		Directory:  g.directory,
 		Tracker:    g.tracker,
+		Locator:    locator.New(),
 		Dialer:     g.dialer,
 		Quarantine: g.suspects,
-		Clock:    g.clock,
-		Logger:   g.Logger.Named("relayer"),
-		Routers:  func() int { return max(1, len(g.gossiper.Live())) },
-		Refusing: g.refusing,
-		Finished: func(r relayer.Report) { g.meter.Finished(string(r.Kind), r.Outcome, r.Status, r.First, r.Total) },
+		Clock:      g.clock,
+		Logger:     g.Logger.Named("relayer"),
+		Routers:    func() int { return max(1, len(g.gossiper.Live())) },
+		Refusing:   g.refusing,
+		Finished:   func(r relayer.Report) { g.meter.Finished(string(r.Kind), r.Outcome, r.Status, r.First, r.Total) },
 	}
 	g.apply(g.Settings)
 	return nil
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -94,6 +94,7 @@
 		TimeLeft:    max(time.Millisecond, j.deadline.Sub(r.Clock.Now())),
 		Priority:    j.verdict.Priority,
 		ResumeAfter: resume,
+		CopyFrom:    j.copyFrom,
 	})
 	return dialer.Request{
 		Method: j.request.Method,
@@ -244,6 +245,7 @@
 				j.begin(x, -1)
 			}
 			j.relayer.Quarantine.Completed(j.fingerprint)
+			j.relayer.Locator.Held(j.key, target.ID)
 			return nil
 		}
 		if err != nil {
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/framer"
 	"github.com/bergamotdale/bergamotdale/hasher"
+	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/quarantiner"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
@@ -63,6 +64,8 @@
 	endpoint string
 	load     int
 	choices  int
+	// copyFrom is where the endpoint copies the prompt's beginning from.
+	copyFrom string
 
 	// started is set once the response to the client has begun, and broken if
 	// it cannot be completed.
@@ -241,9 +244,30 @@
 			"service %s has %d endpoints, %d tried", j.service, len(endpoints), len(j.tried)).After(refusedRetryAfter)
 	}
 	j.endpoint, j.load, j.choices = records[at].ID, candidates[at].Load, len(candidates)
+	j.copyFrom = j.copySource(records[at].ID, endpoints, candidates)
 	return records[at], nil
 }
 
+// copySource returns where the target copies the beginning of the prompt from.
+func (j *job) copySource(target string, endpoints []subscriber.Endpoint, candidates []balancer.Candidate) string {
+	r := j.relayer
+	service := r.Directory.State().Table.Service(j.service)
+	if len(j.envelope.Parts) < 2 || service == nil || !service.CopiesCache {
+		return ""
+	}
+	suspended := map[string]bool{}
+	for _, c := range candidates {
+		suspended[c.ID] = c.Suspended
+	}
+	sources := make([]locator.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !suspended[e.ID] {
+			sources = append(sources, locator.Endpoint{ID: e.ID, Address: e.Address})
+		}
+	}
+	return r.Locator.Source(j.key, target, sources)
+}
+
 // stillAllowed screens the request again before it is sent: opening a
 // connection takes time in which the endpoint may leave or a key be revoked.
 func (j *job) stillAllowed(target subscriber.Endpoint) *bergamotdale.Refusal {
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -69,6 +69,7 @@
 		zap.String("request-id", j.envelope.RequestID), zap.String("route", name),
 		zap.String("workspace", j.verdict.Workspace), zap.String("outcome", j.outcome), zap.Int("status", j.status),
 		zap.String("endpoint", j.endpoint), zap.Int("load", j.load), zap.Int("choices", j.choices),
+		zap.String("copy-from", j.copyFrom),
 		zap.Int("sends", j.sends), zap.Int("unsent", j.unsent), zap.Int("events", j.framer.Events()),
 		zap.Duration("first", j.first), zap.Duration("total", total), zap.Duration("state-age", age),
 		zap.Duration("limit", j.deadline.Sub(j.arrival)),
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/dialer"
+	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
 	"github.com/bergamotdale/bergamotdale/subscriber"
@@ -78,6 +79,7 @@
 	Dialect    bergamotdale.Dialect
 	Directory  Directory
 	Tracker    *tracker.Tracker
+	Locator    *locator.Locator
 	Dialer     *dialer.Dialer
 	Quarantine Quarantine
 	Clock      bergamotdale.Clock
--- a/traffic.go
+++ b/traffic.go
@@ -67,6 +67,9 @@
 	// CacheTokens is the memory of one model engine in tokens; zero for plain
 	// services.
 	CacheTokens int
+	// CopiesCache states that endpoints can copy cached prompts from each
+	// other.
+	CopiesCache bool
 }
 
 // TrafficLimits bound what clients may send.
@@ -147,6 +150,9 @@
 	Priority int
 	// ResumeAfter continues a stream after the event with the id.
 	ResumeAfter string
+	// CopyFrom is the address of an endpoint from which the endpoint copies
+	// what that one has cached of the prompt; empty for none.
+	CopyFrom string
 }
 
 // EndpointLoad is the load that an endpoint reported in a response.
