replicator, relayer: few routers watch the store in a large fleet; tests of the new packages

Ruled out: longer watches, which save only the idle ones. Change: beyond 16 routers, three or more observers watch; the others follow them by long polls whose answers carry their age. Changes are coalesced for 150 ms. In a large fleet the recent load reports stand for the others.

--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,113 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotdale/bergamotdale/balancer"
+)
+
+func endpoints(n int) []balancer.Candidate {
+	all := make([]balancer.Candidate, n)
+	for i := range all {
+		all[i] = balancer.Candidate{ID: fmt.Sprintf("e%d", i), Slots: 64, Weight: 1}
+	}
+	return all
+}
+
+// Guards against a prompt that leaves the endpoint of its beginning while that
+// one has room, and against keys that move when an unrelated endpoint joins.
+func TestKeysStay(t *testing.T) {
+	moved := 0
+	for k := range 500 {
+		key := fmt.Sprint("part-", k)
+		first := balancer.ByKey(key, endpoints(12), balancer.Bound{Multiple: 2})
+		assert.Equal(t, first, balancer.ByKey(key, endpoints(12), balancer.Bound{Multiple: 2}))
+		if balancer.ByKey(key, endpoints(13), balancer.Bound{Multiple: 2}) != first {
+			moved++
+		}
+	}
+	// One in 13 keys belongs to the new endpoint.
+	assert.Assert(t, moved < 500/13*2, "%d of 500 keys moved", moved)
+}
+
+// Guards against a hot key that overloads its endpoint: the load pattern is one
+// shared beginning that gets nearly all requests.
+func TestHotKeySpreadsWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "endpoints")
+		requests := rapid.IntRange(1, 300).Draw(t, "requests")
+		hot := rapid.IntRange(50, 100).Draw(t, "hot-percent")
+		c := endpoints(n)
+		for r := range requests {
+			key := "hot"
+			if r%100 >= hot {
+				key = fmt.Sprint(r)
+			}
+			c[balancer.ByKey(key, c, balancer.Bound{Multiple: 2})].Load++
+		}
+		for _, e := range c {
+			// The promise of the operators: twice the mean, and three more.
+			bound := 2*float64(requests)/float64(n) + 3
+			assert.Assert(t, float64(e.Load) <= bound, "load %d above %f", e.Load, bound)
+		}
+	})
+}
+
+// Guards against a hot key that spreads over more endpoints than its load needs:
+// each further one computes the beginning again.
+func TestHotKeyStaysTogether(t *testing.T) {
+	c := endpoints(12)
+	for i := range c {
+		c[i].Load = 6
+	}
+	used := map[int]bool{}
+	for range 12 {
+		at := balancer.ByKey("hot", c, balancer.Bound{Multiple: 2})
+		c[at].Load++
+		used[at] = true
+	}
+	assert.Assert(t, len(used) <= 3, "%d endpoints for 12 requests", len(used))
+}
+
+// Guards against work for endpoints that do not respond while others do, and
+// against no choice at all when none responds.
+func TestSuspended(t *testing.T) {
+	c := endpoints(3)
+	c[0].Suspended, c[1].Suspended = true, true
+	assert.Equal(t, balancer.ByKey("k", c, balancer.Bound{Multiple: 2}), 2)
+	assert.Equal(t, balancer.ByLoad("k", c), 2)
+	c[2].Suspended = true
+	assert.Assert(t, balancer.ByKey("k", c, balancer.Bound{Multiple: 2}) >= 0)
+	assert.Equal(t, balancer.ByKey("k", nil, balancer.Bound{Multiple: 2}), -1)
+}
+
+// Guards against plain requests that pile up at one endpoint while others idle.
+func TestByLoad(t *testing.T) {
+	c := endpoints(4)
+	for i := range c {
+		c[i].Slots = 6
+	}
+	for r := range 22 {
+		c[balancer.ByLoad(fmt.Sprint(r), c)].Load++
+	}
+	for _, e := range c {
+		assert.Assert(t, e.Load == 5 || e.Load == 6, "%v", c)
+	}
+}
+
+// Guards against an endpoint that fails its requests keeping its full share.
+func TestWeakenedEndpointLosesKeys(t *testing.T) {
+	c := endpoints(4)
+	c[1].Weight = 1.0 / 8
+	won := 0
+	for k := range 2000 {
+		if balancer.ByKey(fmt.Sprint(k), c, balancer.Bound{Multiple: 2}) == 1 {
+			won++
+		}
+	}
+	assert.Assert(t, won > 0 && won < 2000/4/4, "%d of 2000 keys", won)
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -20,6 +20,10 @@
 	// interval is the time between two exchanges of a router. With nine
 	// routers every pair speaks about every half second.
 	interval = 100 * time.Millisecond
+	// largeInterval applies from largeFleet routers on: an exchange takes about
+	// 1 KB, and a router may spend 15 KB/s on control.
+	largeInterval = 200 * time.Millisecond
+	largeFleet    = 16
 	// callTimeout bounds an exchange. Routers are milliseconds apart.
 	callTimeout = 300 * time.Millisecond
 )
@@ -46,9 +50,15 @@
 // done.
 func (x *Exchanger) Run(ctx context.Context) error {
 	var order []bergamotdale.Member
-	for bergamotdale.Wait(ctx, x.Clock, interval) == nil {
+	pause := interval
+	for bergamotdale.Wait(ctx, x.Clock, pause) == nil {
 		if len(order) == 0 {
 			order = x.others()
+			x.Tracker.SetRouters(len(order) + 1)
+			pause = interval
+			if len(order) >= largeFleet {
+				pause = largeInterval
+			}
 		}
 		if len(order) > 0 {
 			x.exchange(ctx, order[0])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
+	"github.com/bergamotdale/bergamotdale/replicator"
 	"github.com/bergamotdale/bergamotdale/server"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
@@ -62,6 +63,8 @@
 	clock     bergamotdale.Clock
 	self      bergamotdale.Member
 	directory *subscriber.Subscriber
+	source    *replicator.Source
+	replica   *replicator.Replica
 	tracker   *tracker.Tracker
 	dialer    *dialer.Dialer
 	gossiper  *gossiper.Gossiper
@@ -126,18 +129,24 @@
 	}
 	g.meter = metrics
 	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{}
-	g.directory = &subscriber.Subscriber{
-		Store:   do.MustInvoke[bergamotdale.ChangeStore](i),
-		Dialect: dialect,
-		Layout:  do.MustInvoke[bergamotdale.Layout](i),
-		Clock:   g.clock,
-		Elapsed: g.Elapsed,
-		Logger:  g.Logger.Named("subscriber"),
-		Changed: func(s *subscriber.State) { g.tracker.Update(g.clock.Now(), s) },
-	}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
 	g.gossiper.Lister = seeds(g.Settings.Seeds)
+	g.source = &replicator.Source{
+		Self: g.self.ID, Store: do.MustInvoke[bergamotdale.ChangeStore](i), Peer: peer,
+		Logger: g.Logger.Named("replicator"), Members: g.gossiper.Live,
+	}
+	g.directory = &subscriber.Subscriber{
+		Store:    g.source,
+		Dialect:  dialect,
+		Layout:   do.MustInvoke[bergamotdale.Layout](i),
+		Clock:    g.clock,
+		Elapsed:  g.Elapsed,
+		Logger:   g.Logger.Named("subscriber"),
+		Changed:  func(s *subscriber.State) { g.tracker.Update(g.clock.Now(), s) },
+		Observed: func(b bergamotdale.Batch) { g.replica.Apply(b, g.source.Direct()) },
+	}
+	g.replica = replicator.NewReplica(g.directory.Age)
 	g.suspects = isolator.New(g.self.ID, g.clock, g.gossiper)
 	g.exchanger = &exchanger.Exchanger{
 		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -9,6 +9,7 @@
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/peerserver"
+	"github.com/bergamotdale/bergamotdale/replicator"
 	"github.com/bergamotdale/bergamotdale/server"
 )
 
@@ -52,5 +53,6 @@
 		return g.gossiper.HandleIndirect(ctx, m), nil
 	})
 	peerserver.Handle(api, maxPeerBody, exchanger.Path, g.exchanger.Handle)
+	peerserver.Handle(api, maxPeerBody, replicator.Path, g.replica.Serve)
 	return mux
 }
--- /dev/null
+++ b/relayer/fake_test.go
@@ -0,0 +1,238 @@
+package relayer_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/dialer"
+	"github.com/bergamotdale/bergamotdale/locator"
+	"github.com/bergamotdale/bergamotdale/relayer"
+	"github.com/bergamotdale/bergamotdale/subscriber"
+	"github.com/bergamotdale/bergamotdale/tracker"
+)
+
+// dialect is a made-up dialect: the headers of these tests.
+type dialect struct{}
+
+func (dialect) Envelope(h http.Header) (bergamotdale.Envelope, error) {
+	e := bergamotdale.Envelope{RequestID: h.Get("X-Id"), APIKey: h.Get("X-Key")}
+	if e.RequestID == "" {
+		return e, errors.New("header X-Id is missing")
+	}
+	if ms, err := strconv.Atoi(h.Get("X-Left")); err == nil {
+		e.TimeLeft = time.Duration(ms) * time.Millisecond
+	}
+	return e, nil
+}
+
+func (dialect) AttemptHeader(client http.Header, a bergamotdale.AttemptHeaders) http.Header {
+	h := client.Clone()
+	h.Del("X-Key")
+	h.Set("X-Endpoint", a.EndpointID)
+	h.Set("X-Workspace", a.Workspace)
+	h.Set("X-Resume", a.ResumeAfter)
+	return h
+}
+
+func (dialect) ResponseInfo(_ int, h http.Header) bergamotdale.ResponseInfo {
+	return bergamotdale.ResponseInfo{RequestID: h.Get("X-Id"), NotExecuted: h.Get("X-Refused") != "", Signed: h.Get("X-Signed") != ""}
+}
+
+func (dialect) ResponseHeader(h http.Header) http.Header { return h.Clone() }
+
+func (dialect) RefusalHeader(h http.Header, id string) { h.Set("X-Id", id) }
+
+func (dialect) TrafficConfig(data []byte) (*bergamotdale.TrafficConfig, error) {
+	c := &bergamotdale.TrafficConfig{}
+	return c, errors.Trace(json.Unmarshal(data, c))
+}
+
+func (dialect) EndpointRecord(_ string, data []byte) (bergamotdale.EndpointRecord, error) {
+	e := bergamotdale.EndpointRecord{}
+	return e, errors.Trace(json.Unmarshal(data, &e))
+}
+
+// endpoint answers each connection's requests with a script.
+type endpoint struct {
+	listener net.Listener
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+// script handles one request on a connection and reports whether the connection
+// goes on.
+type script func(n int, r *http.Request, conn net.Conn) bool
+
+func startEndpoint(t *testing.T, s script) *endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	e := &endpoint{listener: l}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, s)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(conn net.Conn, s script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		n := len(e.requests)
+		e.requests = append(e.requests, r)
+		e.bodies = append(e.bodies, string(body))
+		e.mu.Unlock()
+		if !s(n, r, conn) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+// answer writes a signed response with the body.
+func answer(conn net.Conn, r *http.Request, status int, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("X-Id"), len(body), body)
+	return err == nil
+}
+
+// refuse writes a refusal that was not executed.
+func refuse(conn net.Conn, r *http.Request) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	return err == nil
+}
+
+// stream starts a signed stream in chunks.
+func stream(conn net.Conn, r *http.Request) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+}
+
+func chunk(conn net.Conn, data string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(data), data) }
+
+// noQuarantine contains nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Refusal(string) *bergamotdale.Refusal { return nil }
+func (noQuarantine) Crashed(string, []string)             {}
+func (noQuarantine) Completed(string)                     {}
+
+// store holds a fixed content.
+type store struct {
+	entries []bergamotdale.Entry
+	failing func() bool
+}
+
+func (s *store) Range(context.Context, string) (bergamotdale.Batch, error) {
+	return bergamotdale.Batch{Entries: s.entries, Revision: 1}, nil
+}
+
+func (s *store) Changes(ctx context.Context, _ string, _ int64, wait time.Duration) (bergamotdale.Batch, error) {
+	_ = bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, wait)
+	return bergamotdale.Batch{Revision: 1}, nil
+}
+
+// start serves a relayer before the endpoints with one route of the kind.
+func start(t *testing.T, route bergamotdale.Route, endpoints ...*endpoint) *httptest.Server {
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	route.Targets = []bergamotdale.RouteTarget{{Service: "s", Weight: 1}}
+	config := bergamotdale.TrafficConfig{
+		Version: 1, Routes: []bergamotdale.Route{route}, Services: []bergamotdale.TrafficService{{Name: "s"}},
+		Workspaces: []bergamotdale.WorkspaceKeys{{Name: "w", Keys: []string{"key"}}},
+	}
+	document, err := json.Marshal(config)
+	assert.NilError(t, err)
+	s := &store{entries: []bergamotdale.Entry{{Key: "config", Value: document, Version: 1}}}
+	for i, e := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		record, err := json.Marshal(bergamotdale.EndpointRecord{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 8})
+		assert.NilError(t, err)
+		s.entries = append(s.entries, bergamotdale.Entry{Key: "endpoint/" + id, Value: record, Version: 1})
+	}
+	known := tracker.New()
+	clock := bergamotdale.SystemClock{}
+	begun := time.Now()
+	ready := make(chan struct{}, 1)
+	directory := &subscriber.Subscriber{
+		Store: s, Dialect: dialect{}, Clock: clock, Logger: zap.NewNop(),
+		Layout:  bergamotdale.Layout{ConfigKey: "config", EndpointPrefix: "endpoint/"},
+		Elapsed: func() time.Duration { return time.Since(begun) + time.Hour },
+		Changed: func(state *subscriber.State) { known.Update(clock.Now(), state); ready <- struct{}{} },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = directory.Run(ctx) }()
+	<-ready
+	r := &relayer.Relayer{
+		Dialect: dialect{}, Directory: directory, Tracker: known, Locator: locator.New(), Dialer: &dialer.Dialer{},
+		Quarantine: noQuarantine{}, Clock: clock, Logger: zap.NewNop(),
+		Routers:  func() int { return 1 },
+		Refusing: func() *bergamotdale.Refusal { return nil },
+		Finished: func(relayer.Report) {},
+	}
+	r.SetLimits(relayer.Limits{MaxKeyAge: time.Minute, LoadMultiple: 2, RetryRatio: 0.2, RetrySlack: 50})
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// response is what a client got.
+type response struct {
+	status int
+	header http.Header
+	body   string
+	// broken is set if the body did not end as stated.
+	broken bool
+}
+
+func call(t *testing.T, server *httptest.Server, method, id, body string) response {
+	req, err := http.NewRequest(method, server.URL+"/a%2Fb?q=1", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", "key")
+	req.Header.Set("X-Left", "5000")
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		return response{broken: true}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data), broken: err != nil}
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,204 @@
+package relayer_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+)
+
+var (
+	once   = bergamotdale.Route{Kind: bergamotdale.RouteAtMostOnce, MaxAttempts: 3}
+	often  = bergamotdale.Route{Kind: bergamotdale.RouteIdempotent, MaxAttempts: 3}
+	resume = bergamotdale.Route{Kind: bergamotdale.RouteStream, MaxAttempts: 3, Resumable: true}
+	single = bergamotdale.Route{Kind: bergamotdale.RouteStream, MaxAttempts: 3}
+)
+
+// Guards against changed methods, targets, bodies and headers, and against API
+// keys that reach an endpoint.
+func TestForwardsUnchanged(t *testing.T) {
+	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 200, "pong") })
+	server := start(t, once, e)
+	body := strings.Repeat("0123456789", 5000)
+	got := call(t, server, http.MethodPost, "r1", body)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "pong")
+	assert.Equal(t, got.header.Get("X-Signed"), "1")
+	sent := e.requests[0]
+	assert.Equal(t, sent.RequestURI, "/a%2Fb?q=1")
+	assert.Equal(t, sent.Method, http.MethodPost)
+	assert.Equal(t, e.bodies[0], body)
+	assert.Equal(t, sent.Header.Get("X-Key"), "")
+	assert.Equal(t, sent.Header.Get("X-Workspace"), "w")
+}
+
+// Guards against a second execution of a request that may run once: the
+// endpoint ran it and its answer was lost.
+func TestAtMostOnceIsNotRepeated(t *testing.T) {
+	lose := func(_ int, _ *http.Request, _ net.Conn) bool { return false }
+	a, b := startEndpoint(t, lose), startEndpoint(t, lose)
+	got := call(t, start(t, once, a, b), http.MethodGet, "r1", "")
+	assert.Equal(t, got.status, http.StatusBadGateway, "a promise that it was not run would be false")
+	assert.Equal(t, a.count()+b.count(), 1)
+}
+
+// Guards against an idempotent request that fails although another endpoint can
+// answer it: lost answers, refusals, failures, garbage and unsigned successes.
+func TestIdempotentGoesElsewhere(t *testing.T) {
+	for name, bad := range map[string]script{
+		"lost":    func(_ int, _ *http.Request, _ net.Conn) bool { return false },
+		"refused": func(_ int, r *http.Request, c net.Conn) bool { return refuse(c, r) },
+		"failed":  func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 500, "") },
+		"garbage": func(_ int, _ *http.Request, c net.Conn) bool { fmt.Fprint(c, "garbage\r\n\r\n"); return false },
+		"unsigned": func(_ int, _ *http.Request, c net.Conn) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		},
+		"cut": func(_ int, r *http.Request, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("X-Id"))
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var total atomic.Int64
+			s := func(n int, r *http.Request, c net.Conn) bool {
+				if total.Add(1) == 1 {
+					return bad(n, r, c)
+				}
+				return answer(c, r, 200, "good")
+			}
+			got := call(t, start(t, often, startEndpoint(t, s), startEndpoint(t, s)), http.MethodGet, "r1", "")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, "good")
+			assert.Equal(t, total.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against a false promise: a refusal of every endpoint says truthfully
+// that the request was not run, and when to come back.
+func TestRefusedEverywhere(t *testing.T) {
+	s := func(_ int, r *http.Request, c net.Conn) bool { return refuse(c, r) }
+	got := call(t, start(t, once, startEndpoint(t, s), startEndpoint(t, s)), http.MethodPost, "r1", "x")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, strings.Contains(got.body, `"outcome":"not-run"`), got.body)
+}
+
+// Guards against a status that promises "not run" being passed on from an
+// endpoint that does not say so.
+func TestUnmarkedPromiseIsNotPassedOn(t *testing.T) {
+	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 503, "") })
+	got := call(t, start(t, once, e), http.MethodPost, "r1", "x")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.header.Get("X-Signed"), "")
+}
+
+// Guards against the answer to another request: an endpoint sends an extra
+// response on a kept connection.
+func TestStrayResponseIsSkipped(t *testing.T) {
+	e := startEndpoint(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n == 1 {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: 1\r\nContent-Length: 5\r\n\r\nstray")
+		}
+		return answer(c, r, 200, "own "+r.Header.Get("X-Id"))
+	})
+	server := start(t, often, e)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		got := call(t, server, http.MethodGet, id, "")
+		assert.Equal(t, got.body, "own "+id)
+	}
+}
+
+// Guards against a stream that breaks in the middle of an event ending there,
+// losing a piece or repeating one.
+func TestStreamResumes(t *testing.T) {
+	var total atomic.Int64
+	s := func(_ int, r *http.Request, c net.Conn) bool {
+		stream(c, r)
+		if total.Add(1) == 1 {
+			chunk(c, "id: 1\ndata: a\n\nid: 2\nda")
+			return false
+		}
+		assert.Check(t, r.Header.Get("X-Resume") == "1")
+		chunk(c, "id: 2\ndata: b\n\n")
+		chunk(c, "id: 3\ndata: c\n\n")
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	got := call(t, start(t, resume, startEndpoint(t, s), startEndpoint(t, s)), http.MethodPost, "r1", "x")
+	assert.Equal(t, got.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+	assert.Assert(t, !got.broken)
+}
+
+// Guards against a part of a stream that looks complete, and against a second
+// run of a stream that may not be resumed.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	s := func(_ int, r *http.Request, c net.Conn) bool {
+		stream(c, r)
+		chunk(c, "id: 1\ndata: a\n\n")
+		return false
+	}
+	a, b := startEndpoint(t, s), startEndpoint(t, s)
+	got := call(t, start(t, single, a, b), http.MethodPost, "r1", "x")
+	assert.Assert(t, got.broken)
+	assert.Equal(t, a.count()+b.count(), 1)
+}
+
+// Guards against work that goes on after its client has left.
+func TestClientLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool {
+		stream(c, r)
+		chunk(c, "id: 1\ndata: a\n\n")
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	server := start(t, single, e)
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/", http.NoBody)
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Id", "r1")
+	req.Header.Set("X-Key", "key")
+	resp, err := server.Client().Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint still works on the request")
+	}
+}
+
+// Guards against a request that is held beyond the time of its route.
+func TestTimeout(t *testing.T) {
+	route := once
+	route.Timeout = 100 * time.Millisecond
+	release := make(chan struct{})
+	defer close(release)
+	e := startEndpoint(t, func(_ int, _ *http.Request, _ net.Conn) bool { <-release; return false })
+	begun := time.Now()
+	got := call(t, start(t, route, e), http.MethodPost, "r1", "x")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(begun) < 2*time.Second)
+}
+
+// Guards against a request that is refused although it only met an endpoint
+// that accepts no connection.
+func TestUnreachableEndpointIsPassedOver(t *testing.T) {
+	gone := startEndpoint(t, nil)
+	gone.listener.Close()
+	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 200, "good") })
+	server := start(t, once, gone, e)
+	for i := range 20 {
+		assert.Equal(t, call(t, server, http.MethodPost, fmt.Sprint(i), "x").status, 200)
+	}
+}
--- a/store.go
+++ b/store.go
@@ -67,15 +67,28 @@
 	Deleted bool
 }
 
+// Batch is what a ChangeStore returned.
+type Batch struct {
+	// Entries is the whole content, in the answer to Range.
+	Entries []Entry
+	// Changes holds later changes in order, in the answer to Changes.
+	Changes []Change
+	// Revision is where to continue from.
+	Revision int64
+	// Lag is how far the batch may be behind the store: it is complete up to
+	// this time before the call.
+	Lag time.Duration
+}
+
 // ChangeStore is a store whose changes can be followed by key prefix.
 type ChangeStore interface {
 	// Range returns the entries whose keys start with the prefix, and a
 	// revision from which Changes misses nothing.
-	Range(ctx context.Context, prefix string) ([]Entry, int64, error)
+	Range(ctx context.Context, prefix string) (Batch, error)
 	// Changes blocks until a key with the prefix has changed after the
-	// revision, or until wait has passed. It returns the changes in order and
-	// the revision to continue from, or ErrCompacted.
-	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+	// revision, or until wait has passed. It returns ErrCompacted if the
+	// history no longer reaches back to the revision.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 }
 
 // Layout names the keys of the store that the platform and the fleet share.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -27,11 +27,14 @@
 	// confirms the state, so it is a fraction of the age that revoked API keys
 	// may reach.
 	WatchWait = time.Second
-	// WatchLag is how far a watch may be behind the store: a store that drops
-	// its history delivers nothing for a second before it says so.
-	WatchLag = time.Second
-	// retryDelay spreads the calls of routers that lost the store together.
-	retryDelay = 200 * time.Millisecond
+	// retryDelay spreads the calls of routers that lost the store together. It
+	// doubles with each failure up to maxRetryDelay, since the store counts
+	// refused calls too.
+	retryDelay    = 200 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
+	// coalesceDelay lets several changes arrive in one call. It is a small part
+	// of the time in which a change has to be in force.
+	coalesceDelay = 150 * time.Millisecond
 	// LapseGrace is how long endpoints stay in use whose records vanished while
 	// the store was away. Live ones are back within two seconds.
 	LapseGrace = 1500 * time.Millisecond
@@ -84,6 +87,8 @@
 	Logger  *zap.Logger
 	// Changed is called after each new state.
 	Changed func(*State)
+	// Observed is called after each batch; nil for none.
+	Observed func(bergamotdale.Batch)
 
 	state atomic.Pointer[State]
 	// confirmed is the time on Elapsed for which the state is known to be
@@ -120,57 +125,64 @@
 // Run follows the store until the context is done.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.endpoints = map[string]Endpoint{}
+	delay := retryDelay
 	for ctx.Err() == nil {
 		started := s.Elapsed()
-		err := s.step(ctx)
+		changed, err := s.step(ctx)
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
 			s.recovered(started)
+			delay = retryDelay
+			if changed {
+				_ = bergamotdale.Wait(ctx, s.Clock, coalesceDelay)
+			}
 		case errors.Is(err, bergamotdale.ErrCompacted):
 			s.Logger.Warn("history of the store is gone, reading everything", zap.Int64("revision", s.revision))
 			s.revision = 0
 		default:
 			s.lost(err)
-			delay := retryDelay/2 + rand.N(retryDelay)
-			_ = bergamotdale.Wait(ctx, s.Clock, delay)
+			_ = bergamotdale.Wait(ctx, s.Clock, delay/2+rand.N(delay))
+			delay = min(2*delay, maxRetryDelay)
 		}
 	}
 	return ctx.Err()
 }
 
-// step makes one call of the store and publishes what it returned.
-func (s *Subscriber) step(ctx context.Context) error {
+// step makes one call of the store and publishes what it returned. It reports
+// whether keys have changed.
+func (s *Subscriber) step(ctx context.Context) (bool, error) {
 	started := s.Elapsed()
+	var batch bergamotdale.Batch
+	var err error
+	relevant := false
 	if s.revision == 0 {
-		entries, revision, err := s.Store.Range(ctx, "")
-		if err != nil {
-			return errors.Trace(err)
+		if batch, err = s.Store.Range(ctx, ""); err != nil {
+			return false, errors.Trace(err)
 		}
-		s.replace(entries)
-		s.revision = revision
-		s.publish()
-		s.confirm(started)
-		return nil
-	}
-	changes, revision, err := s.Store.Changes(ctx, "", s.revision, WatchWait)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	relevant := false
-	for _, c := range changes {
-		if c.Deleted {
-			relevant = s.remove(c.Key) || relevant
-		} else {
-			relevant = s.put(c.Entry) || relevant
+		s.replace(batch.Entries)
+		relevant = true
+	} else {
+		if batch, err = s.Store.Changes(ctx, "", s.revision, WatchWait); err != nil {
+			return false, errors.Trace(err)
+		}
+		for _, c := range batch.Changes {
+			if c.Deleted {
+				relevant = s.remove(c.Key) || relevant
+			} else {
+				relevant = s.put(c.Entry) || relevant
+			}
 		}
 	}
-	s.revision = revision
+	s.revision = batch.Revision
 	if relevant {
 		s.publish()
 	}
-	s.confirm(started - WatchLag)
-	return nil
+	s.confirm(started - batch.Lag)
+	if s.Observed != nil {
+		s.Observed(batch)
+	}
+	return len(batch.Changes) > 0, nil
 }
 
 // confirm records that the state was current at the time. It never goes back.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -61,6 +61,8 @@
 	endpoints map[string]*endpoint
 	peers     map[string]peerLoad
 	groups    map[string]*ejector.Group
+	// routers is the number of live routers, this one included.
+	routers int
 }
 
 // New returns an empty tracker.
@@ -135,16 +137,29 @@
 	return candidates, records
 }
 
+// peerLoad returns the load from other routers. In a large fleet only some
+// reports are recent at any time; these stand for the others.
 func (t *Tracker) peerLoad(now time.Time, id string) int {
-	sum := 0
+	sum, recent := 0, 0
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerExpiry {
 			sum += p.loads[id]
+			recent++
 		}
 	}
+	if others := t.routers - 1; recent > 0 && others > recent {
+		return (sum*others + recent/2) / recent
+	}
 	return sum
 }
 
+// SetRouters sets the number of live routers, this one included.
+func (t *Tracker) SetRouters(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routers = n
+}
+
 // Begin counts a request of this router.
 func (t *Tracker) Begin(id, service string) {
 	t.mu.Lock()
