--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,195 @@
+package replicator_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/replicator"
+)
+
+func entry(key string, version int64) bergamotdale.Entry {
+	return bergamotdale.Entry{Key: key, Value: []byte(fmt.Sprint(version)), Version: version}
+}
+
+func fixedAge(age time.Duration) func() (time.Duration, bool) {
+	return func() (time.Duration, bool) { return age, true }
+}
+
+func newReplica(age time.Duration) *replicator.Replica {
+	r := replicator.NewReplica(fixedAge(age))
+	r.Apply(bergamotdale.Batch{Entries: []bergamotdale.Entry{entry("a", 1), entry("b", 2)}, Revision: 2}, true)
+	r.Apply(bergamotdale.Batch{Changes: []bergamotdale.Change{
+		{Entry: entry("c", 3)}, {Entry: entry("a", 4), Deleted: true},
+	}, Revision: 4}, true)
+	return r
+}
+
+// Guards against followers that miss a change, get one twice, or take content
+// for complete whose history is gone.
+func TestServe(t *testing.T) {
+	r, ctx := newReplica(time.Second), context.Background()
+	got, err := r.Serve(ctx, replicator.Request{After: 3})
+	assert.NilError(t, err)
+	assert.Assert(t, got.Usable)
+	assert.Equal(t, len(got.Changes), 1)
+	assert.Equal(t, got.Changes[0].Key, "a")
+	assert.Equal(t, got.Revision, int64(4))
+	assert.Assert(t, got.AgeMS >= 1000)
+	got, _ = r.Serve(ctx, replicator.Request{After: 1})
+	assert.Assert(t, got.Compacted)
+	got, _ = r.Serve(ctx, replicator.Request{Everything: true})
+	assert.Equal(t, len(got.Entries), 2)
+}
+
+// Guards against followers of a router that has lost the store, or that follows
+// others itself: its content may be old.
+func TestUnusable(t *testing.T) {
+	r := newReplica(time.Hour)
+	got, _ := r.Serve(context.Background(), replicator.Request{After: 3})
+	assert.Assert(t, !got.Usable)
+	r = newReplica(time.Second)
+	r.Apply(bergamotdale.Batch{Revision: 4}, false)
+	got, _ = r.Serve(context.Background(), replicator.Request{After: 3})
+	assert.Assert(t, !got.Usable)
+}
+
+// Guards against a follower that hears of a change or of a new confirmation only
+// when its poll ends.
+func TestServeWaitsForTheNextBatch(t *testing.T) {
+	r := newReplica(time.Second)
+	answered := make(chan replicator.Response)
+	go func() {
+		got, _ := r.Serve(context.Background(), replicator.Request{After: 4, WaitMS: 2000})
+		answered <- got
+	}()
+	var got replicator.Response
+	for served := false; !served; {
+		r.Apply(bergamotdale.Batch{Changes: []bergamotdale.Change{{Entry: entry("d", 5)}}, Revision: 5}, true)
+		select {
+		case got = <-answered:
+			served = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+	assert.Equal(t, got.Revision, int64(5))
+}
+
+// Guards against every router watching the store of a large fleet, and against
+// too few observers to lose one.
+func TestObservers(t *testing.T) {
+	var ids []string
+	for i := range 360 {
+		ids = append(ids, fmt.Sprintf("r%d", i))
+		n := len(replicator.Observers(ids))
+		switch {
+		case len(ids) <= 16:
+			assert.Equal(t, n, 0)
+		default:
+			assert.Assert(t, n >= 3 && n <= len(ids)/16+3, "%d observers of %d", n, len(ids))
+		}
+	}
+}
+
+// peers answers calls as other routers would.
+type peers struct {
+	bergamotdale.Peer
+	response replicator.Response
+	err      error
+	called   int
+}
+
+func (p *peers) Call(_ context.Context, _, _ string, _, response any) error {
+	p.called++
+	*response.(*replicator.Response) = p.response
+	return p.err
+}
+
+// store answers every call.
+type store struct {
+	err    error
+	called int
+}
+
+func (s *store) Range(context.Context, string) (bergamotdale.Batch, error) {
+	s.called++
+	return bergamotdale.Batch{Revision: 10}, s.err
+}
+
+func (s *store) Changes(context.Context, string, int64, time.Duration) (bergamotdale.Batch, error) {
+	s.called++
+	return bergamotdale.Batch{Revision: 11, Lag: time.Second}, s.err
+}
+
+func newSource(s *store, p *peers, routers int) *replicator.Source {
+	var members []bergamotdale.Member
+	for i := range routers {
+		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i)})
+	}
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	self := ""
+	for _, id := range ids {
+		observer := false
+		for _, o := range replicator.Observers(ids) {
+			observer = observer || o == id
+		}
+		if !observer {
+			self = id
+		}
+	}
+	return &replicator.Source{Self: self, Store: s, Peer: p, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
+}
+
+// Guards against a follower that calls the store although an observer answers,
+// and against one that stays without news when no observer does.
+func TestSource(t *testing.T) {
+	ctx := context.Background()
+	s, p := &store{}, &peers{response: replicator.Response{Usable: true, Revision: 12, AgeMS: 1200}}
+	source := newSource(s, p, 60)
+	b, err := source.Changes(ctx, "", 11, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Revision, int64(12))
+	assert.Equal(t, b.Lag, 1200*time.Millisecond)
+	assert.Assert(t, !source.Direct() && s.called == 0)
+
+	p.err = errors.New("down")
+	b, err = source.Changes(ctx, "", 11, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Revision, int64(11))
+	assert.Assert(t, source.Direct() && s.called == 1)
+
+	p.err, p.response.Revision = nil, 5
+	b, err = source.Changes(ctx, "", 11, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Revision, int64(11), "an observer that is behind must not take a follower back")
+}
+
+// Guards against a router that starts during an outage of the store knowing
+// nothing although its peers do.
+func TestStartDuringAnOutage(t *testing.T) {
+	s := &store{err: bergamotdale.ErrUnavailable}
+	p := &peers{response: replicator.Response{Usable: true, Revision: 9, Entries: []bergamotdale.Entry{entry("a", 1)}}}
+	b, err := newSource(s, p, 6).Range(context.Background(), "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Entries), 1)
+	p.response = replicator.Response{}
+	_, err = newSource(s, p, 6).Range(context.Background(), "")
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable))
+}
+
+// Guards against a small fleet that depends on observers.
+func TestSmallFleetWatchesDirectly(t *testing.T) {
+	s, p := &store{}, &peers{}
+	_, err := newSource(s, p, 9).Changes(context.Background(), "", 1, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, p.called, 0)
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -62,6 +62,18 @@
 	services map[string][]Endpoint
 }
 
+// NewState returns a state with the endpoints. The table may be nil.
+func NewState(table *matcher.Table, endpoints []Endpoint) *State {
+	s := &State{Table: table, services: map[string][]Endpoint{}}
+	for _, e := range endpoints {
+		s.services[e.Service] = append(s.services[e.Service], e)
+	}
+	for _, group := range s.services {
+		slices.SortFunc(group, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return s
+}
+
 // Endpoints returns the endpoints of a service, ordered by ID.
 func (s *State) Endpoints(service string) []Endpoint {
 	return s.services[service]
@@ -297,17 +309,15 @@
 // publish makes the current state visible.
 func (s *Subscriber) publish() {
 	now := s.Clock.Now()
-	state := &State{Table: s.table, services: map[string][]Endpoint{}}
+	endpoints := make([]Endpoint, 0, len(s.endpoints))
 	for id, e := range s.endpoints {
 		if !e.LapsedAt.IsZero() && now.Sub(e.LapsedAt) >= LapseGrace {
 			delete(s.endpoints, id)
 			continue
 		}
-		state.services[e.Service] = append(state.services[e.Service], e)
-	}
-	for _, endpoints := range state.services {
-		slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		endpoints = append(endpoints, e)
 	}
+	state := NewState(s.table, endpoints)
 	s.state.Store(state)
 	if s.Changed != nil {
 		s.Changed(state)
