relayer: a silent endpoint is probed and left within a second

Ruled out: shorter TCP timeouts, which also cut lossy paths. Change: after 600 ms without a byte the router asks whether the endpoint still accepts connections; if not, the attempt ends. A request that may be executed again also leaves an endpoint that gives no first byte in four times its objective. Clients that leave a mute endpoint count against it. Tests: TestSilentEndpointIsLeft, TestMuteEndpointIsLeft.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
 )
 
@@ -59,6 +60,8 @@
 type Dialer struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
+
+	probes singleflight.Group
 }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
@@ -78,14 +81,34 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	dial := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	conn, err := dial.DialContext(ctx, "tcp", address)
+	conn, err := dial(ctx, address)
 	if err != nil {
-		return nil, errors.Annotatef(err, "connecting to %s", address)
+		return nil, err
 	}
 	return &Conn{Conn: conn, address: address}, nil
 }
 
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	return conn, errors.Annotatef(err, "connecting to %s", address)
+}
+
+// Probe returns an error if the address accepts no connection. Probes of the
+// same address at the same time are one.
+func (d *Dialer) Probe(address string) error {
+	_, err, _ := d.probes.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+		defer cancel()
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return nil, errors.Trace(conn.Close())
+	})
+	return err
+}
+
 // setUserTimeout makes writes to a peer that is gone fail.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -23,9 +23,6 @@
 	maxHeldBody = 256 << 10
 	// readSize is the size of one read of a response, in bytes.
 	readSize = 4 << 10
-	// crashCheckTimeout bounds the check whether an endpoint still accepts
-	// connections after it broke one off.
-	crashCheckTimeout = time.Second
 )
 
 // failure is an attempt that did not complete the response.
@@ -37,6 +34,8 @@
 	granted bool
 	// final states that no other attempt may follow.
 	final bool
+	// cut states that the connection ended before the response.
+	cut bool
 }
 
 func notSent(refusal *bergamotdale.Refusal) *failure { return &failure{refusal: refusal} }
@@ -70,14 +69,24 @@
 	result := tracker.Result{}
 	defer func() { r.Tracker.End(target.ID, target.Service, result) }()
 	begun := r.Clock.Now()
-	x, err := r.Dialer.Send(ctx, conn, j.outgoing(target))
+	watched, w := j.watch(ctx, func() error { return r.Dialer.Probe(target.Address) })
+	defer w.stop()
+	x, err := r.Dialer.Send(watched, conn, j.outgoing(target))
 	if err != nil {
-		result.Failed = ctx.Err() == nil
-		return j.sendFailure(ctx, target, err)
+		// A client that gave up on a mute endpoint shows a failure of that one.
+		result.Failed = ctx.Err() == nil || r.Clock.Now().Sub(begun) >= minPatience
+		return j.sendFailure(ctx, target, err, context.Cause(watched))
 	}
 	defer x.Close()
+	w.note()
 	result.Latency = r.Clock.Now().Sub(begun)
-	fail := j.relay(ctx, target, x, &result)
+	fail := j.relay(ctx, target, x, w, &result)
+	if fail != nil && fail.cut && ctx.Err() == nil {
+		if cause := context.Cause(watched); cause != nil {
+			fail.refusal.Cause = cause
+		}
+		j.investigate(target, fail.refusal.Cause)
+	}
 	if fail != nil && fail.sent && ctx.Err() == nil && fail.refusal.Outcome == bergamotdale.OutcomeUnknown {
 		result.Failed = true
 	}
@@ -110,11 +119,15 @@
 }
 
 // sendFailure converts a failure before the headers of the response.
-func (j *job) sendFailure(ctx context.Context, target subscriber.Endpoint, err error) *failure {
+func (j *job) sendFailure(ctx context.Context, target subscriber.Endpoint, err, cause error) *failure {
 	var exchange *dialer.ExchangeError
 	if errors.As(err, &exchange) && !exchange.Sent {
 		return notSent(bergamotdale.Refuse(bergamotdale.CodeInternal, "the request could not be encoded").WithCause(err))
 	}
+	if cause != nil {
+		// The watchdog ended the attempt, or the client did.
+		err = cause
+	}
 	if ctx.Err() == nil {
 		j.investigate(target, err)
 	}
@@ -122,7 +135,7 @@
 }
 
 // relay passes the response on, or returns why it cannot.
-func (j *job) relay(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, result *tracker.Result) *failure {
+func (j *job) relay(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog, result *tracker.Result) *failure {
 	status := x.Response.StatusCode
 	info := j.relayer.Dialect.ResponseInfo(status, x.Response.Header)
 	switch {
@@ -150,7 +163,7 @@
 		return lost(nil, "endpoint %s answered status %d without saying whether it ran", target.ID, status)
 	}
 	if status == http.StatusOK && isEventStream(x.Response.Header) {
-		return j.relayStream(ctx, target, x, result)
+		return j.relayStream(ctx, target, x, w, result)
 	}
 	return j.relayPlain(ctx, target, x)
 }
@@ -172,10 +185,9 @@
 	held, err := io.ReadAll(io.LimitReader(x, maxHeldBody))
 	complete := err == nil && len(held) < maxHeldBody
 	if err != nil {
-		if ctx.Err() == nil {
-			j.investigate(target, err)
-		}
-		return lost(err, "endpoint %s broke off its response", target.ID)
+		fail := lost(err, "endpoint %s broke off its response", target.ID)
+		fail.cut = true
+		return fail
 	}
 	length := x.Response.ContentLength
 	if complete {
@@ -218,7 +230,7 @@
 }
 
 // relayStream passes on whole events as they arrive.
-func (j *job) relayStream(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, result *tracker.Result) *failure {
+func (j *job) relayStream(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog, result *tracker.Result) *failure {
 	j.framer.Drop()
 	out := &eventWriter{writer: j.writer, control: http.NewResponseController(j.writer)}
 	complete := false
@@ -227,6 +239,9 @@
 	begun, before := j.relayer.Clock.Now(), j.framer.Events()
 	for {
 		n, err := x.Read(buffer)
+		if n > 0 {
+			w.note()
+		}
 		events, frameErr := j.framer.Push(buffer[:n])
 		if frameErr != nil {
 			return lost(frameErr, "endpoint %s sent no events", target.ID)
@@ -252,10 +267,9 @@
 			return nil
 		}
 		if err != nil {
-			if ctx.Err() == nil {
-				j.investigate(target, err)
-			}
-			return lost(err, "endpoint %s broke off its stream after %d events", target.ID, j.framer.Events())
+			fail := lost(err, "endpoint %s broke off its stream after %d events", target.ID, j.framer.Events())
+			fail.cut = true
+			return fail
 		}
 	}
 }
@@ -272,23 +286,22 @@
 // investigate finds out whether an endpoint that broke off an exchange has
 // crashed: then it accepts no connections, and the request is suspected.
 func (j *job) investigate(target subscriber.Endpoint, cause error) {
+	r := j.relayer
 	var exchange *dialer.ExchangeError
-	if errors.As(cause, &exchange) && exchange.Silent {
+	switch {
+	case errors.Is(cause, errNoAnswer):
+		return
+	case errors.Is(cause, errGone), errors.As(cause, &exchange) && exchange.Silent:
 		j.unreachable(target, "silent", cause)
+		r.Quarantine.Crashed(target.ID, []string{j.fingerprint})
 		return
 	}
-	r := j.relayer
 	fingerprint := j.fingerprint
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-		defer cancel()
 		r.Dialer.Forget(target.Address)
-		conn, err := r.Dialer.Get(ctx, target.Address)
-		if err == nil {
-			conn.Close()
-			return
+		if err := r.Dialer.Probe(target.Address); err != nil {
+			j.unreachable(target, "crashed", err)
+			r.Quarantine.Crashed(target.ID, []string{fingerprint})
 		}
-		j.unreachable(target, "crashed", err)
-		r.Quarantine.Crashed(target.ID, []string{fingerprint})
 	}()
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -244,3 +244,46 @@
 	u.seen += string(p[:n])
 	return n, err
 }
+
+// Guards against streams that wait for an endpoint that lost power: its
+// connections stay open and silent, but it accepts no new ones.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	var dark *endpoint
+	begun := make(chan struct{})
+	dark = startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool {
+		stream(c, r)
+		chunk(c, "id: 1\ndata: a\n\n")
+		dark.listener.Close()
+		close(begun)
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	server := start(t, resume, dark)
+	answered := make(chan response, 1)
+	go func() { answered <- call(t, server, http.MethodPost, "r1", "x") }()
+	<-begun
+	select {
+	case got := <-answered:
+		// There is no other endpoint: the stream must end as broken, not wait.
+		assert.Assert(t, got.broken)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the stream waits for an endpoint that is gone")
+	}
+}
+
+// Guards against an idempotent request that waits until its deadline for an
+// endpoint that never answers.
+func TestMuteEndpointIsLeft(t *testing.T) {
+	route := often
+	route.Objective = 100 * time.Millisecond
+	var total atomic.Int64
+	s := func(_ int, r *http.Request, c net.Conn) bool {
+		if total.Add(1) == 1 {
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		}
+		return answer(c, r, 200, "good")
+	}
+	got := call(t, start(t, route, startEndpoint(t, s), startEndpoint(t, s)), http.MethodGet, "r1", "")
+	assert.Equal(t, got.body, "good")
+}
