--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -50,11 +50,13 @@
 
 // runGateway runs a gateway on the platform until the context is done.
 func runGateway(ctx context.Context, file string, s *loader.GatewaySettings) error {
-	log, err := logger.New(os.Stdout, s.LogLevel)
+	queue := logger.NewQueue(os.Stdout, logger.DefaultQueueBytes)
+	defer queue.Close()
+	base, err := logger.New(queue, s.LogLevel)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer log.Sync()
+	log := logger.NewLimited(base)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
@@ -65,6 +67,7 @@
 		Elapsed:  gateway.Elapsed,
 		File:     file,
 		Reload:   reload,
+		Omitted:  func() uint64 { return log.Omitted() + queue.Dropped() },
 	}
 	return errors.Trace(g.Run(ctx))
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -63,6 +63,7 @@
 	limit    int
 	settings string
 	gateway  bool
+	logs     []string
 }
 
 // command is a subcommand and what it does.
@@ -128,6 +129,7 @@
 	timeline.String(&c.flags.endpoint, "", "endpoint", "endpoint")
 	timeline.String(&c.flags.since, "", "since", "earliest time, as 2026-12-04T06:00:00Z or as a duration ago")
 	timeline.String(&c.flags.until, "", "until", "latest time, in the same forms")
+	timeline.StringSlice(&c.flags.logs, "", "log", "log file of a router; with it no router is asked")
 	timeline.Int(&c.flags.limit, "", "limit", "largest number of events of each router")
 	router := subcommand("router", "run a router")
 	router.String(&c.flags.settings, "", "settings", "settings file")
--- a/commander/query.go
+++ b/commander/query.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/collator"
 	pb "github.com/bergamotdale/bergamotdale/operatorpb"
 	"github.com/bergamotdale/bergamotdale/recorder"
 )
@@ -53,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.flags.logs) > 0 {
+		return c.timelineOfLogs(f)
+	}
 	client, err := c.dial(ctx)
 	if err != nil {
 		return err
@@ -139,3 +145,28 @@
 	}
 	return info.Main.Version
 }
+
+// timelineOfLogs prints the lines of log files that the filter selects.
+func (c *Commander) timelineOfLogs(f recorder.Filter) error {
+	lines := &collator.Collator{Filter: collator.Filter{
+		RequestID: f.RequestID, Endpoint: f.Endpoint, Since: f.Since, Until: f.Until,
+	}}
+	for _, name := range c.flags.logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		err = lines.Read(file)
+		file.Close()
+		if err != nil {
+			return errors.Annotatef(err, "reading %s", name)
+		}
+	}
+	for _, l := range lines.Lines() {
+		c.printf("%s\n", l)
+	}
+	if n := lines.Skipped(); n > 0 {
+		c.warn("%d lines are no log lines", n)
+	}
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// File is the settings file to read again, and Reload the signal to do so.
 	File   string
 	Reload <-chan os.Signal
+	// Omitted returns the number of log lines left out so far.
+	Omitted func() uint64
 
 	clock     bergamotdale.Clock
 	self      bergamotdale.Member
@@ -208,6 +210,7 @@
 // done.
 func (g *Gateway) evaluate(ctx context.Context) error {
 	before := map[string]float64{}
+	omitted := uint64(0)
 	for bergamotdale.Wait(ctx, g.clock, evaluateInterval) == nil {
 		now := g.clock.Now()
 		weakened := g.tracker.Evaluate(now)
@@ -222,6 +225,10 @@
 			}
 		}
 		before = weakened
+		if n := g.Omitted(); n != omitted {
+			g.Logger.Warn("log lines left out", zap.Uint64("since-last", n-omitted), zap.Uint64("total", n))
+			omitted = n
+		}
 		g.suspects.Merge(g.gossiper.View(), now)
 		g.dialer.Sweep()
 	}
