--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -78,7 +78,7 @@
 	c.reader = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c.Conn)
 	x := &Exchange{dialer: d, conn: c, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	message, err := r.encode()
 	if err != nil {
 		x.Close()
@@ -90,6 +90,7 @@
 		// The endpoint may respond before it has read the whole request.
 		go x.write(message)
 	}
+	//nolint:bodyclose // Closing the exchange ends the body with its connection.
 	response, err := x.read(r)
 	if err != nil {
 		x.Close()
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -35,7 +35,7 @@
 	_, _ = q.Write([]byte("first\n"))
 	<-b.entered
 	for i := range 50 {
-		n, err := q.Write([]byte(fmt.Sprintf("line %02d\n", i)))
+		n, err := fmt.Fprintf(q, "line %02d\n", i)
 		assert.NilError(t, err)
 		assert.Equal(t, n, 8)
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -257,7 +257,7 @@
 		if count := j.framer.Events() - before; count > 0 {
 			result.Latency = j.relayer.Clock.Now().Sub(begun) / time.Duration(count)
 		}
-		if err == io.EOF && j.framer.Pending() == 0 {
+		if errors.Is(err, io.EOF) && j.framer.Pending() == 0 {
 			if !j.started {
 				j.begin(x, -1)
 			}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -156,7 +156,6 @@
 // store holds a fixed content.
 type store struct {
 	entries []bergamotdale.Entry
-	failing func() bool
 }
 
 func (s *store) Range(context.Context, string) (bergamotdale.Batch, error) {
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -233,11 +233,9 @@
 	now := r.Clock.Now()
 	endpoints := r.Directory.State().Endpoints(j.service)
 	candidates, records := r.Tracker.Candidates(now, endpoints, r.Domain, j.tried)
-	at := -1
+	at := balancer.ByLoad(j.key, candidates)
 	if len(j.envelope.Parts) > 0 {
 		at = balancer.ByKey(j.key, candidates, r.bound())
-	} else {
-		at = balancer.ByLoad(j.key, candidates)
 	}
 	if at < 0 {
 		return subscriber.Endpoint{}, bergamotdale.Refuse(bergamotdale.CodeNoEndpoint,
