--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/meter"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
@@ -74,6 +75,7 @@
 	exchanger *exchanger.Exchanger
 	relayer   *relayer.Relayer
 	meter     *meter.Meter
+	pacer     *pacer.Pacer
 
 	// stopping is set once a planned stop has begun, and closed once new
 	// requests are refused.
@@ -93,7 +95,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, part := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.evaluate, g.reload} {
+	for _, part := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.evaluate, g.reload, g.pacer.Run} {
 		partCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
@@ -131,6 +133,7 @@
 	}
 	g.meter = metrics
 	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{}
+	g.pacer = &pacer.Pacer{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
 	g.gossiper.Lister = seeds(g.Settings.Seeds)
@@ -162,6 +165,7 @@
 		Locator:    locator.New(),
 		Dialer:     g.dialer,
 		Quarantine: g.suspects,
+		Health:     g.pacer,
 		Clock:      g.clock,
 		Logger:     g.Logger.Named("relayer"),
 		Routers:    func() int { return max(1, len(g.gossiper.Live())) },
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -277,6 +277,7 @@
 // unreachable suspends an endpoint.
 func (j *job) unreachable(target subscriber.Endpoint, why string, err error) {
 	r := j.relayer
+	r.Health.Failed(target.ID)
 	d := r.Tracker.Unreachable(r.Clock.Now(), target.ID, target.Service)
 	r.Dialer.Forget(target.Address)
 	r.Logger.Warn("endpoint suspended", zap.String("endpoint", target.ID), zap.String("reason", why),
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/locator"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
@@ -201,6 +202,7 @@
 	r := &relayer.Relayer{
 		Dialect: dialect{}, Directory: directory, Tracker: known, Locator: locator.New(), Dialer: &dialer.Dialer{},
 		Quarantine: noQuarantine{}, Clock: clock, Logger: zap.NewNop(),
+		Health:   &pacer.Pacer{Clock: clock, Logger: zap.NewNop()},
 		Routers:  func() int { return 1 },
 		Refusing: func() *bergamotdale.Refusal { return nil },
 		Finished: func(relayer.Report) {},
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/locator"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
 	"github.com/bergamotdale/bergamotdale/subscriber"
@@ -82,8 +83,10 @@
 	Locator    *locator.Locator
 	Dialer     *dialer.Dialer
 	Quarantine Quarantine
-	Clock      bergamotdale.Clock
-	Logger     *zap.Logger
+	// Health tells whether this router itself is the cause of slow answers.
+	Health *pacer.Pacer
+	Clock  bergamotdale.Clock
+	Logger *zap.Logger
 	// Routers returns the number of live routers, at least 1.
 	Routers func() int
 	// Refusing returns a refusal for new requests while the router stops.
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -31,6 +31,8 @@
 type watchdog struct {
 	// probe returns an error if the endpoint is gone.
 	probe func() error
+	// trusted reports whether a failed probe is the endpoint's fault.
+	trusted func() bool
 	// patience is the longest time to the first byte; zero for none.
 	patience time.Duration
 	cancel   context.CancelCauseFunc
@@ -47,7 +49,9 @@
 // watch starts the watchdog of an attempt. The returned context ends with it.
 func (j *job) watch(ctx context.Context, probe func() error) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{probe: probe, cancel: cancel, clock: j.relayer.Clock, begun: j.relayer.Clock.Now()}
+	w := &watchdog{
+		probe: probe, trusted: j.relayer.Health.Sound, cancel: cancel, clock: j.relayer.Clock, begun: j.relayer.Clock.Now(),
+	}
 	route := j.verdict.Route
 	if route.Idempotent() && j.sends < route.MaxAttempts && route.Objective > 0 {
 		w.patience = max(minPatience, patienceFactor*route.Objective)
@@ -78,7 +82,7 @@
 		w.timer.Reset(stallProbe - silence)
 		return
 	}
-	if err := w.probe(); err != nil {
+	if err := w.probe(); err != nil && w.trusted() {
 		w.cancel(errors.WithType(err, errGone))
 		return
 	}
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -23,10 +23,15 @@
 	// historyLength bounds the changes that a replica keeps. A follower that
 	// missed more reads everything again.
 	historyLength = 1024
-	// maxServedAge is the age from which a replica sends followers elsewhere.
-	maxServedAge = 2500 * time.Millisecond
+	// maxServedAge is the age from which a replica sends followers elsewhere: a
+	// watch may be 1 s behind, and an observer's take up to 0.5 s.
+	maxServedAge = 2 * time.Second
 	// maxWait bounds a long poll.
 	maxWait = 2 * time.Second
+	// maxInline bounds the values that an observer sends to all of its
+	// followers, in bytes. VMs with links of 10 Mbit/s need a second for a
+	// configuration of 100 KB times 14 followers; the store has a wider link.
+	maxInline = 4 << 10
 )
 
 // Request asks an observer for the changes after a revision.
@@ -37,6 +42,8 @@
 	WaitMS int64 `json:"wait-ms"`
 	// Everything asks for the whole content.
 	Everything bool `json:"everything,omitempty"`
+	// Key asks for the value of one key.
+	Key string `json:"key,omitempty"`
 }
 
 // Response is the answer to a Request.
@@ -47,7 +54,9 @@
 	Compacted bool                  `json:"compacted,omitempty"`
 	Entries   []bergamotdale.Entry  `json:"entries,omitempty"`
 	Changes   []bergamotdale.Change `json:"changes,omitempty"`
-	Revision  int64                 `json:"revision"`
+	// Large holds the changed keys whose values are read separately.
+	Large    []string `json:"large,omitempty"`
+	Revision int64    `json:"revision"`
 	// AgeMS is the time since the revision was known to be current, in
 	// milliseconds.
 	AgeMS int64 `json:"age-ms"`
@@ -109,12 +118,14 @@
 	r.mu.Lock()
 	revision, stepped := r.revision, r.stepped
 	r.mu.Unlock()
-	if !q.Everything && revision <= q.After {
+	if !q.Everything && q.Key == "" && revision <= q.After {
 		timer := time.NewTimer(min(maxWait, time.Duration(q.WaitMS)*time.Millisecond))
 		defer timer.Stop()
 		select {
 		case <-stepped:
 		case <-timer.C:
+			// The store has not answered this router for several watches.
+			return Response{}, nil
 		case <-ctx.Done():
 		}
 	}
@@ -134,14 +145,35 @@
 		for _, e := range r.entries {
 			response.Entries = append(response.Entries, e)
 		}
+	case q.Key != "":
+		if e, ok := r.entries[q.Key]; ok {
+			response.Entries = []bergamotdale.Entry{e}
+		}
 	case q.After < r.oldest:
 		response.Compacted = true
 	default:
-		for _, c := range r.history {
-			if c.Version > q.After {
-				response.Changes = append(response.Changes, c)
-			}
-		}
+		response.Changes, response.Large = r.latest(q.After)
 	}
 	return response
 }
+
+// latest returns the last change of each key after the revision, and the keys
+// whose values are too large to send along.
+func (r *Replica) latest(after int64) ([]bergamotdale.Change, []string) {
+	last := map[string]int{}
+	for i, c := range r.history {
+		last[c.Key] = i
+	}
+	var changes []bergamotdale.Change
+	var large []string
+	for i, c := range r.history {
+		switch {
+		case c.Version <= after || last[c.Key] != i:
+		case len(c.Value) > maxInline:
+			large = append(large, c.Key)
+		default:
+			changes = append(changes, c)
+		}
+	}
+	return changes, large
+}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -193,3 +193,36 @@
 	assert.NilError(t, err)
 	assert.Equal(t, p.called, 0)
 }
+
+// Guards against an observer whose link is filled by its followers: the load
+// pattern is a storm of configurations of 100 KB before VMs with slow links.
+func TestLargeValuesAreReadFromTheStore(t *testing.T) {
+	r := newReplica(time.Second)
+	large := bergamotdale.Entry{Key: "config", Value: make([]byte, 100<<10)}
+	batch := bergamotdale.Batch{Revision: 20}
+	for version := int64(11); version <= 20; version++ {
+		large.Version = version
+		batch.Changes = append(batch.Changes, bergamotdale.Change{Entry: large})
+	}
+	r.Apply(batch, true)
+	got, err := r.Serve(context.Background(), replicator.Request{After: 4})
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Changes), 0)
+	assert.DeepEqual(t, got.Large, []string{"config"})
+	one, err := r.Serve(context.Background(), replicator.Request{Key: "config"})
+	assert.NilError(t, err)
+	assert.Equal(t, one.Entries[0].Version, int64(20))
+}
+
+// Guards against a follower that drops a large change when it cannot reach the
+// store itself.
+func TestLargeValueFromTheObserver(t *testing.T) {
+	s := &store{err: bergamotdale.ErrUnavailable}
+	p := &peers{response: replicator.Response{
+		Usable: true, Revision: 12, Large: []string{"a"}, Entries: []bergamotdale.Entry{entry("a", 12)},
+	}}
+	b, err := newSource(s, p, 60).Changes(context.Background(), "", 11, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Changes), 1)
+	assert.Equal(t, b.Changes[0].Version, int64(12))
+}
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,9 +22,20 @@
 	minObservers = 3
 	// observerKey orders the routers for the choice of observers.
 	observerKey = "store-observers"
+	// observerWait is how long an observer's watch lasts. It is short, so that
+	// followers soon see whether their observer still reaches the store.
+	observerWait = 300 * time.Millisecond
+	// followerWait is how long a follower waits for the next batch of its
+	// observer: twice the usual time between two.
+	followerWait = 900 * time.Millisecond
 	// pollGrace is the time past the wait after which an observer counts as
 	// silent.
-	pollGrace = 700 * time.Millisecond
+	pollGrace = 400 * time.Millisecond
+	// largeTimeout bounds the read of a large value.
+	largeTimeout = 1500 * time.Millisecond
+	// avoidTime is how long a follower does without an observer that failed it.
+	// Membership notices a lost one in a few seconds.
+	avoidTime = 10 * time.Second
 	// maxObserversTried bounds the observers that one call asks before it turns
 	// to the store.
 	maxObserversTried = 2
@@ -54,6 +66,8 @@
 	direct bool
 	// observer is the one that answered last.
 	observer string
+	// avoided holds until when failed observers are not asked.
+	avoided map[string]time.Time
 }
 
 var _ bergamotdale.ChangeStore = (*Source)(nil)
@@ -79,9 +93,11 @@
 
 // Changes implements bergamotdale.ChangeStore.
 func (s *Source) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (bergamotdale.Batch, error) {
-	for _, m := range s.observers() {
-		batch, ok := s.ask(ctx, m, Request{After: after, WaitMS: wait.Milliseconds()}, wait+pollGrace)
+	observers, observing := s.observers()
+	for _, m := range observers {
+		batch, ok := s.ask(ctx, m, Request{After: after, WaitMS: followerWait.Milliseconds()}, followerWait+pollGrace)
 		if !ok {
+			s.avoid(m.ID)
 			continue
 		}
 		if s.observer != m.ID {
@@ -94,6 +110,9 @@
 		}
 		return batch, nil
 	}
+	if observing {
+		wait = min(wait, observerWait)
+	}
 	if s.observer != "" {
 		s.Logger.Info("watching the store directly")
 		s.observer = ""
@@ -103,9 +122,17 @@
 	return batch, errors.Trace(err)
 }
 
-// observers returns the observers to ask, or none if this router watches the
-// store itself.
-func (s *Source) observers() []bergamotdale.Member {
+// avoid leaves out an observer for a time.
+func (s *Source) avoid(id string) {
+	if s.avoided == nil {
+		s.avoided = map[string]time.Time{}
+	}
+	s.avoided[id] = time.Now().Add(avoidTime)
+	s.Logger.Info("observer of the store avoided", zap.String("peer", id), zap.Duration("for", avoidTime))
+}
+
+// observers returns the observers to ask, and whether this router is one.
+func (s *Source) observers() ([]bergamotdale.Member, bool) {
 	members := map[string]bergamotdale.Member{}
 	ids := []string{s.Self}
 	for _, m := range s.Members() {
@@ -114,21 +141,19 @@
 			members[m.ID] = m
 		}
 	}
-	var observers []string
-	for _, id := range Observers(ids) {
-		if id == s.Self {
-			return nil
-		}
-		observers = append(observers, id)
+	all := Observers(ids)
+	if slices.Contains(all, s.Self) {
+		return nil, true
 	}
 	// Followers spread over the observers by their own names.
+	now := time.Now()
 	var chosen []bergamotdale.Member
-	for _, id := range hasher.Order(s.Self, observers) {
-		if len(chosen) < maxObserversTried {
+	for _, id := range hasher.Order(s.Self, all) {
+		if len(chosen) < maxObserversTried && !now.Before(s.avoided[id]) {
 			chosen = append(chosen, members[id])
 		}
 	}
-	return chosen
+	return chosen, false
 }
 
 // others returns some other routers to ask when the store does not answer.
@@ -144,18 +169,49 @@
 
 // ask returns the answer of another router, and false if it has none.
 func (s *Source) ask(ctx context.Context, m bergamotdale.Member, q Request, timeout time.Duration) (bergamotdale.Batch, bool) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	var r Response
-	if err := s.Peer.Call(ctx, m.Address, Path, q, &r); err != nil {
+	polled, cancel := context.WithTimeout(ctx, timeout)
+	err := s.Peer.Call(polled, m.Address, Path, q, &r)
+	cancel()
+	if err != nil {
 		s.Logger.Debug("observer did not answer", zap.String("peer", m.ID), zap.Error(err))
 		return bergamotdale.Batch{}, false
 	}
 	if !r.Usable || r.Compacted {
 		return bergamotdale.Batch{}, false
 	}
+	for _, key := range r.Large {
+		entry, ok := s.readLarge(ctx, m, key)
+		if !ok {
+			return bergamotdale.Batch{}, false
+		}
+		r.Changes = append(r.Changes, bergamotdale.Change{Entry: entry})
+	}
 	s.direct = false
 	return bergamotdale.Batch{
 		Entries: r.Entries, Changes: r.Changes, Revision: r.Revision, Lag: time.Duration(r.AgeMS) * time.Millisecond,
 	}, true
 }
+
+// readLarge reads a value from the store, or from the observer if this router
+// does not reach the store.
+func (s *Source) readLarge(ctx context.Context, m bergamotdale.Member, key string) (bergamotdale.Entry, bool) {
+	ctx, cancel := context.WithTimeout(ctx, largeTimeout)
+	defer cancel()
+	batch, err := s.Store.Range(ctx, key)
+	if err != nil {
+		s.Logger.Debug("large value not read from the store", zap.String("key", key), zap.Error(err))
+		var r Response
+		if err := s.Peer.Call(ctx, m.Address, Path, Request{Key: key}, &r); err != nil || !r.Usable {
+			s.Logger.Warn("large value not read", zap.String("key", key), zap.String("peer", m.ID), zap.Error(err))
+			return bergamotdale.Entry{}, false
+		}
+		batch.Entries = r.Entries
+	}
+	for _, e := range batch.Entries {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return bergamotdale.Entry{}, false
+}
