replicator: a router that the store turns away asks others

Change: such a router hears the store through a peer, with the age of what it hears; it tries the store again every 3 s.

--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -72,7 +72,9 @@
 		zap.String("copy-from", j.copyFrom),
 		zap.Int("sends", j.sends), zap.Int("unsent", j.unsent), zap.Int("events", j.framer.Events()),
 		zap.Duration("first", j.first), zap.Duration("total", total), zap.Duration("state-age", age),
-		zap.Duration("limit", j.deadline.Sub(j.arrival)),
+	}
+	if !j.deadline.IsZero() {
+		fields = append(fields, zap.Duration("limit", j.deadline.Sub(j.arrival)))
 	}
 	if table := r.Directory.State().Table; table != nil {
 		fields = append(fields, zap.Int64("version", table.Version()))
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -226,3 +226,23 @@
 	assert.Equal(t, len(b.Changes), 1)
 	assert.Equal(t, b.Changes[0].Version, int64(12))
 }
+
+// Guards against a router that refuses requests with keys although the store,
+// which turns it away, confirms them to its peers (incident inc-3a26).
+func TestStoreTurnsOneRouterAway(t *testing.T) {
+	s := &store{err: bergamotdale.ErrUnavailable}
+	p := &peers{response: replicator.Response{Usable: true, Revision: 12, AgeMS: 1100}}
+	source := newSource(s, p, 6)
+	b, err := source.Changes(context.Background(), "", 11, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Revision, int64(12))
+	assert.Assert(t, b.Lag <= 1100*time.Millisecond && b.Lag > 0, "%s", b.Lag)
+	called := s.called
+	_, err = source.Changes(context.Background(), "", 12, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, s.called, called, "a store that just failed is left alone for a moment")
+	assert.Assert(t, !source.Direct(), "what was heard from others is not passed on")
+	p.response.Usable = false
+	_, err = source.Changes(context.Background(), "", 11, time.Second)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable))
+}
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	pollGrace = 400 * time.Millisecond
 	// largeTimeout bounds the read of a large value.
 	largeTimeout = 1500 * time.Millisecond
+	// refusedTime is how long a router asks others after the store failed to
+	// answer it. The next failed call takes two seconds, in which the API keys
+	// grow older.
+	refusedTime = 3 * time.Second
 	// avoidTime is how long a follower does without an observer that failed it.
 	// Membership notices a lost one in a few seconds.
 	avoidTime = 10 * time.Second
@@ -68,6 +73,8 @@
 	observer string
 	// avoided holds until when failed observers are not asked.
 	avoided map[string]time.Time
+	// refused is when the store last failed to answer this router.
+	refused time.Time
 }
 
 var _ bergamotdale.ChangeStore = (*Source)(nil)
@@ -104,10 +111,8 @@
 			s.Logger.Info("following an observer of the store", zap.String("peer", m.ID), zap.Int64("revision", batch.Revision))
 			s.observer = m.ID
 		}
-		if batch.Revision < after {
-			// The observer is behind this router, but confirms what it knows.
-			batch.Revision = after
-		}
+		// An observer that is behind this router still confirms what it knows.
+		batch.Revision = max(after, batch.Revision)
 		return batch, nil
 	}
 	if observing {
@@ -117,9 +122,37 @@
 		s.Logger.Info("watching the store directly")
 		s.observer = ""
 	}
-	batch, err := s.Store.Changes(ctx, prefix, after, wait)
-	s.direct = true
-	return batch, errors.Trace(err)
+	return s.watchStore(ctx, prefix, after, wait)
+}
+
+// watchStore follows the store itself. While the store turns this router away,
+// it asks others instead.
+func (s *Source) watchStore(ctx context.Context, prefix string, after int64, wait time.Duration) (bergamotdale.Batch, error) {
+	begun := time.Now()
+	err := error(bergamotdale.ErrUnavailable)
+	if begun.Sub(s.refused) >= refusedTime {
+		var batch bergamotdale.Batch
+		batch, err = s.Store.Changes(ctx, prefix, after, wait)
+		if err == nil || errors.Is(err, bergamotdale.ErrCompacted) || ctx.Err() != nil {
+			s.direct = true
+			return batch, errors.Trace(err)
+		}
+		s.refused = time.Now()
+		s.Logger.Info("store asked through other routers", zap.Duration("for", refusedTime), zap.Error(err))
+	}
+	for _, m := range s.others() {
+		asked := time.Since(begun)
+		relayed, ok := s.ask(ctx, m, Request{After: after, WaitMS: followerWait.Milliseconds()}, followerWait+pollGrace)
+		if ok {
+			relayed.Revision = max(after, relayed.Revision)
+			// The lag counts from the call of this method.
+			relayed.Lag -= asked
+			return relayed, nil
+		}
+	}
+	// No router reaches the store: the next call asks it again.
+	s.refused = time.Time{}
+	return bergamotdale.Batch{}, errors.Trace(err)
 }
 
 // avoid leaves out an observer for a time.
@@ -156,15 +189,17 @@
 	return chosen, false
 }
 
-// others returns some other routers to ask when the store does not answer.
+// others returns some other routers, in a random order, to ask when the store
+// does not answer.
 func (s *Source) others() []bergamotdale.Member {
 	var others []bergamotdale.Member
 	for _, m := range s.Members() {
-		if m.ID != s.Self && len(others) < maxObserversTried {
+		if m.ID != s.Self {
 			others = append(others, m)
 		}
 	}
-	return others
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), maxObserversTried)]
 }
 
 // ask returns the answer of another router, and false if it has none.
