--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -112,12 +112,25 @@
 	r.stepped = make(chan struct{})
 }
 
+// Lost records that the store no longer answers this router: followers turn
+// elsewhere at once.
+func (r *Replica) Lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.direct = false
+	close(r.stepped)
+	r.stepped = make(chan struct{})
+}
+
 // Serve answers a follower. It waits for the next batch if there is no change
 // after the revision.
 func (r *Replica) Serve(ctx context.Context, q Request) (Response, error) {
 	r.mu.Lock()
-	revision, stepped := r.revision, r.stepped
+	revision, stepped, direct := r.revision, r.stepped, r.direct
 	r.mu.Unlock()
+	if !direct {
+		return Response{}, nil
+	}
 	if !q.Everything && q.Key == "" && revision <= q.After {
 		timer := time.NewTimer(min(maxWait, time.Duration(q.WaitMS)*time.Millisecond))
 		defer timer.Stop()
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -65,6 +65,8 @@
 	Logger *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// Lost is called when the store fails to answer; nil for none.
+	Lost func()
 
 	// direct tells where the last batch came from; used by the caller's
 	// goroutine only.
@@ -138,6 +140,9 @@
 			return batch, errors.Trace(err)
 		}
 		s.refused = time.Now()
+		if s.Lost != nil {
+			s.Lost()
+		}
 		s.Logger.Info("store asked through other routers", zap.Duration("for", refusedTime), zap.Error(err))
 	}
 	for _, m := range s.others() {
