--- a/relayer/job.go
+++ b/relayer/job.go
@@ -76,6 +76,8 @@
 	code    bergamotdale.Code
 	cause   error
 	first   time.Duration
+	// retryAfter is when a refused client was told to come back.
+	retryAfter time.Duration
 }
 
 // accept screens the request and reads its body.
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/returner"
 )
 
 // refuse answers the client with the refusal.
@@ -18,8 +19,13 @@
 	h := j.writer.Header()
 	j.relayer.Dialect.RefusalHeader(h, j.envelope.RequestID)
 	h.Set("Content-Type", "application/json")
-	if refusal.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	left := j.envelope.TimeLeft
+	if left > 0 {
+		left = max(0, left-j.relayer.Clock.Now().Sub(j.arrival))
+	}
+	j.retryAfter = returner.Wait(j.envelope.RequestID, refusal.RetryAfter, j.verdict.Priority, left)
+	if j.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(j.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error *bergamotdale.WireRefusal `json:"error"`
@@ -71,7 +77,7 @@
 		zap.String("endpoint", j.endpoint), zap.Int("load", j.load), zap.Int("choices", j.choices),
 		zap.String("copy-from", j.copyFrom),
 		zap.Int("sends", j.sends), zap.Int("unsent", j.unsent), zap.Int("events", j.framer.Events()),
-		zap.Duration("first", j.first), zap.Duration("total", total), zap.Duration("state-age", age),
+		zap.Duration("first", j.first), zap.Duration("retry-after", j.retryAfter), zap.Duration("total", total), zap.Duration("state-age", age),
 	}
 	if !j.deadline.IsZero() {
 		fields = append(fields, zap.Duration("limit", j.deadline.Sub(j.arrival)))
