--- a/relayer/writer.go
+++ b/flusher/flusher.go
@@ -1,4 +1,8 @@
-package relayer
+// Package flusher writes the events of a stream to a client in few packets.
+//
+// It answers a lossy path: each packet is a chance of a stall, which delays all
+// events behind it.
+package flusher
 
 import (
 	"net/http"
@@ -13,8 +17,8 @@
 // packet in a thousand, each packet less is a stall less.
 const flushInterval = 50 * time.Millisecond
 
-// eventWriter writes the events of a stream to a client.
-type eventWriter struct {
+// Writer writes the events of one stream.
+type Writer struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
 
@@ -27,8 +31,13 @@
 	stopped bool
 }
 
-// write passes on whole events, at once if the last packet is long enough ago.
-func (w *eventWriter) write(events []byte) error {
+// New returns a writer to the client.
+func New(w http.ResponseWriter) *Writer {
+	return &Writer{writer: w, control: http.NewResponseController(w)}
+}
+
+// Write passes on whole events, at once if the last packet is long enough ago.
+func (w *Writer) Write(events []byte) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.err != nil {
@@ -58,16 +67,16 @@
 }
 
 // flush sends what was written. The lock is held.
-func (w *eventWriter) flush() {
+func (w *Writer) flush() {
 	w.flushed, w.pending = time.Now(), false
 	if err := w.control.Flush(); err != nil {
 		w.err = errors.Trace(err)
 	}
 }
 
-// stop sends what is left and ends delayed sending. The end of a response sends
+// Stop sends what is left and ends delayed sending. The end of a response sends
 // the rest by itself, but a stream that breaks off has no such end.
-func (w *eventWriter) stop(complete bool) {
+func (w *Writer) Stop(complete bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -12,9 +12,11 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/dialer"
+	"github.com/bergamotdale/bergamotdale/flusher"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
+	"github.com/bergamotdale/bergamotdale/watchdog"
 )
 
 const (
@@ -69,16 +71,17 @@
 	result := tracker.Result{}
 	defer func() { r.Tracker.End(target.ID, target.Service, result) }()
 	begun := r.Clock.Now()
-	watched, w := j.watch(ctx, func() error { return r.Dialer.Probe(target.Address) })
-	defer w.stop()
+	w := j.watchdog(target)
+	watched := w.Watch(ctx)
+	defer w.Stop()
 	x, err := r.Dialer.Send(watched, conn, j.outgoing(target))
 	if err != nil {
 		// A client that gave up on a mute endpoint shows a failure of that one.
-		result.Failed = ctx.Err() == nil || r.Clock.Now().Sub(begun) >= minPatience
+		result.Failed = ctx.Err() == nil || r.Clock.Now().Sub(begun) >= watchdog.MinPatience
 		return j.sendFailure(ctx, target, err, context.Cause(watched))
 	}
 	defer x.Close()
-	w.note()
+	w.Note()
 	result.Latency = r.Clock.Now().Sub(begun)
 	fail := j.relay(ctx, target, x, w, &result)
 	if fail != nil && fail.cut && ctx.Err() == nil {
@@ -93,6 +96,18 @@
 	return fail
 }
 
+// watchdog returns the watchdog of an attempt at the target.
+func (j *job) watchdog(target subscriber.Endpoint) *watchdog.Watchdog {
+	r, route := j.relayer, j.verdict.Route
+	w := &watchdog.Watchdog{
+		Probe: func() error { return r.Dialer.Probe(target.Address) }, Trusted: r.Health.Sound, Clock: r.Clock,
+	}
+	if route.Idempotent() && j.sends < route.MaxAttempts && route.Objective > 0 {
+		w.Patience = watchdog.Patience(route.Objective)
+	}
+	return w
+}
+
 // outgoing returns the request as the endpoint gets it.
 func (j *job) outgoing(target subscriber.Endpoint) dialer.Request {
 	r := j.relayer
@@ -135,7 +150,7 @@
 }
 
 // relay passes the response on, or returns why it cannot.
-func (j *job) relay(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog, result *tracker.Result) *failure {
+func (j *job) relay(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog.Watchdog, result *tracker.Result) *failure {
 	status := x.Response.StatusCode
 	info := j.relayer.Dialect.ResponseInfo(status, x.Response.Header)
 	switch {
@@ -230,17 +245,17 @@
 }
 
 // relayStream passes on whole events as they arrive.
-func (j *job) relayStream(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog, result *tracker.Result) *failure {
+func (j *job) relayStream(ctx context.Context, target subscriber.Endpoint, x *dialer.Exchange, w *watchdog.Watchdog, result *tracker.Result) *failure {
 	j.framer.Drop()
-	out := &eventWriter{writer: j.writer, control: http.NewResponseController(j.writer)}
+	out := flusher.New(j.writer)
 	complete := false
-	defer func() { out.stop(complete) }()
+	defer func() { out.Stop(complete) }()
 	buffer := make([]byte, readSize)
 	begun, before := j.relayer.Clock.Now(), j.framer.Events()
 	for {
 		n, err := x.Read(buffer)
 		if n > 0 {
-			w.note()
+			w.Note()
 		}
 		events, frameErr := j.framer.Push(buffer[:n])
 		if frameErr != nil {
@@ -250,7 +265,7 @@
 			if !j.started {
 				j.begin(x, -1)
 			}
-			if writeErr := out.write(events); writeErr != nil {
+			if writeErr := out.Write(events); writeErr != nil {
 				return &failure{sent: true, final: true, refusal: bergamotdale.Refuse(bergamotdale.CodeInternal, "the client is gone").WithCause(writeErr).WithOutcome(bergamotdale.OutcomeRun)}
 			}
 		}
@@ -290,9 +305,9 @@
 	r := j.relayer
 	var exchange *dialer.ExchangeError
 	switch {
-	case errors.Is(cause, errNoAnswer):
+	case errors.Is(cause, watchdog.ErrNoAnswer):
 		return
-	case errors.Is(cause, errGone), errors.As(cause, &exchange) && exchange.Silent:
+	case errors.Is(cause, watchdog.ErrGone), errors.As(cause, &exchange) && exchange.Silent:
 		j.unreachable(target, "silent", cause)
 		r.Quarantine.Crashed(target.ID, []string{j.fingerprint})
 		return
