--- a/traffic.go
+++ b/traffic.go
@@ -41,9 +41,6 @@
 	// Objective is the latency objective: to the response, or to the first
 	// event of a stream.
 	Objective time.Duration
-	// EventGap is the longest pause between two events of a stream that is
-	// within the objective.
-	EventGap time.Duration
 	// Priority is 0 for the most urgent work.
 	Priority int
 	// MaxAttempts is the number of endpoints that one request may be sent to.
@@ -62,11 +59,6 @@
 // TrafficService describes the endpoints of a service.
 type TrafficService struct {
 	Name string
-	// MaxConnections is what one endpoint accepts from all routers together.
-	MaxConnections int
-	// CacheTokens is the memory of one model engine in tokens; zero for plain
-	// services.
-	CacheTokens int
 	// CopiesCache states that endpoints can copy cached prompts from each
 	// other.
 	CopiesCache bool
@@ -155,13 +147,6 @@
 	CopyFrom string
 }
 
-// EndpointLoad is the load that an endpoint reported in a response.
-type EndpointLoad struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // ResponseInfo is what the headers of an endpoint's response say about it.
 type ResponseInfo struct {
 	// RequestID is the request that the response belongs to.
@@ -171,8 +156,6 @@
 	NotExecuted bool
 	// Signed states that the response carries the endpoint's signature.
 	Signed bool
-	// Load is nil if the endpoint does not report it.
-	Load *EndpointLoad
 }
 
 // Dialect translates between the HTTP headers and documents of a deployment
