--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 # Randomised run with failures on real processes. It prints its seed.
 soak: build
 	go test ./soaker -count=1 -timeout 0 -v -run TestSoak -soak.seed=$(SEED) -soak.duration=$(DURATION)
+	go test ./platform -count=1 -timeout 0 -v -run TestSoak -soak.seed=$(SEED) -soak.duration=$(DURATION)
 
 clean:
 	rm -rf $(BIN)
