detector: name each contact with the store, so that it does not grow younger on the way

Cause: a message carried the age of the latest contact with the store, and the receiver dated it from its own arrival, without the time under way. Sender and receiver then told each other the later moment, and every exchange moved it further: with 200 ms a message, three routers believe 20 s after the last contact that it was 8.6 s ago. leaser.Admission then waits longer than TTL+OutageSettle with not-run, which is TestStoreOutage's failure under the load of a whole test run ("unknown" 13.2 s and 14.4 s into the outage). Ruled out: a suspected router (Reachable), a pause of the process (Observed) are possible too, but 30 runs of the test, 8 to 16 at once, showed neither. Change: a contact has a name (router, incarnation, count). A contact heard again keeps the earliest moment; only a later one is taken as later. Figures: TestStoreContactAgesOnSlowLinks, age after 20 s: 8.6 s before, at least 18 s after, at 3 and 24 routers.

--- a/detector/machine_test.go
+++ b/detector/machine_test.go
@@ -227,3 +227,31 @@
 	net.run(11 * time.Second)
 	assert.Assert(t, everywhere("")())
 }
+
+// Guards against a contact with the store that grows younger with each router
+// that passes it on: over slow links the routers then never agree that the
+// store is down.
+func TestStoreContactAgesOnSlowLinks(t *testing.T) {
+	const (
+		elapsed = 20 * time.Second
+		// settle is leaser.OutageSettle, the time that news of a contact may need.
+		settle = 2 * time.Second
+	)
+	for _, size := range []int{3, 24} {
+		net, _, ok := fleet(11, size)
+		ids := net.up()
+		assert.Assert(t, ok)
+		net.delay = 200 * time.Millisecond
+		// Two routers reach the store until it fails.
+		for _, id := range ids[:2] {
+			v := net.nodes[id]
+			v.use(func(now time.Time) { v.machine.SetStoreContact(now) })
+		}
+		net.run(elapsed)
+		for _, id := range ids {
+			age, heard := net.nodes[id].machine.StoreAge(net.now)
+			assert.Assert(t, heard)
+			assert.Assert(t, age >= elapsed-settle && age <= elapsed, "%s of %d routers: %s after %s", id, size, age, elapsed)
+		}
+	}
+}
--- a/detector/message.go
+++ b/detector/message.go
@@ -18,11 +18,11 @@
 	From disseminator.MemberUpdate `json:"from"`
 	// Revision is the configuration revision that the sender has in force.
 	Revision int64 `json:"revision,omitempty"`
-	// StoreAgeMS is the time since the latest contact with the store that the
-	// sender knows of, its own or another router's; -1 without any.
-	StoreAgeMS int64                       `json:"store-age-ms"`
-	Members    []disseminator.MemberUpdate `json:"members,omitempty"`
-	Rumours    []disseminator.Rumour       `json:"rumours,omitempty"`
+	// StoreContact is the latest contact with the store that the sender knows
+	// of, its own or another router's; nil without any.
+	StoreContact *disseminator.StoreContact  `json:"store-contact,omitempty"`
+	Members      []disseminator.MemberUpdate `json:"members,omitempty"`
+	Rumours      []disseminator.Rumour       `json:"rumours,omitempty"`
 	// Sync asks for a page of all that the receiver knows, after the cursor.
 	Sync  bool   `json:"sync,omitempty"`
 	After string `json:"after,omitempty"`
@@ -34,10 +34,10 @@
 type PingResponse struct {
 	From disseminator.MemberUpdate `json:"from"`
 	// Revision is the configuration revision that the sender has in force.
-	Revision   int64                       `json:"revision,omitempty"`
-	StoreAgeMS int64                       `json:"store-age-ms"`
-	Members    []disseminator.MemberUpdate `json:"members,omitempty"`
-	Rumours    []disseminator.Rumour       `json:"rumours,omitempty"`
+	Revision     int64                       `json:"revision,omitempty"`
+	StoreContact *disseminator.StoreContact  `json:"store-contact,omitempty"`
+	Members      []disseminator.MemberUpdate `json:"members,omitempty"`
+	Rumours      []disseminator.Rumour       `json:"rumours,omitempty"`
 	// Next is the cursor of the next page, empty after the last one.
 	Next string `json:"next,omitempty"`
 }
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -33,7 +33,7 @@
 }
 
 func (m *Machine) pingAddress(now time.Time, address, about string, id uint64) Send {
-	request := PingRequest{From: m.table.Self(), StoreAgeMS: m.table.StoreAgeMS(now)}
+	request := PingRequest{From: m.table.Self(), StoreContact: m.table.StoreContact(now)}
 	request.Members, request.Rumours = m.table.Piggyback(now, disseminator.MaxPiggyback, about, nil)
 	s := Send{Kind: SendPing, Address: address, Timeout: m.config.ProbeTimeout, Probe: id, Ping: request}
 	m.countSent(request)
@@ -91,8 +91,8 @@
 // HandlePing responds to a probe.
 func (m *Machine) HandlePing(now time.Time, r PingRequest) PingResponse {
 	m.countReceived(r)
-	m.table.Receive(now, r.From, r.StoreAgeMS, r.Members, r.Rumours)
-	response := PingResponse{From: m.table.Self(), StoreAgeMS: m.table.StoreAgeMS(now)}
+	m.table.Receive(now, r.From, r.StoreContact, r.Members, r.Rumours)
+	response := PingResponse{From: m.table.Self(), StoreContact: m.table.StoreContact(now)}
 	if r.Sync {
 		response.Members, response.Rumours, response.Next = m.table.Page(now, r.From.ID, r.After)
 	} else {
@@ -105,7 +105,7 @@
 // HandleIndirect returns the ping that an indirect probe asks for.
 func (m *Machine) HandleIndirect(now time.Time, r IndirectRequest) Send {
 	m.countReceived(r)
-	m.table.Receive(now, r.From, disseminator.NeverAge, r.Members, r.Rumours)
+	m.table.Receive(now, r.From, nil, r.Members, r.Rumours)
 	return m.pingAddress(now, r.Target.Address, r.Target.ID, 0)
 }
 
@@ -166,7 +166,7 @@
 // receivePing merges the response to a ping.
 func (m *Machine) receivePing(now time.Time, result Result) {
 	m.countReceived(result.Ping)
-	m.table.Receive(now, result.Ping.From, result.Ping.StoreAgeMS, result.Ping.Members, result.Ping.Rumours)
+	m.table.Receive(now, result.Ping.From, result.Ping.StoreContact, result.Ping.Members, result.Ping.Rumours)
 }
 
 // nextPage continues reading the list of a member. A single page was asked
@@ -214,7 +214,7 @@
 func (m *Machine) finishIndirectProbe(now time.Time, result Result) {
 	if result.Err == nil {
 		m.countReceived(result.Indirect)
-		m.table.Receive(now, result.Indirect.From, disseminator.NeverAge, result.Indirect.Members, result.Indirect.Rumours)
+		m.table.Receive(now, result.Indirect.From, nil, result.Indirect.Members, result.Indirect.Rumours)
 		if result.Indirect.Target != nil {
 			m.table.Merge(now, *result.Indirect.Target)
 		}
--- a/disseminator/piggyback.go
+++ b/disseminator/piggyback.go
@@ -11,8 +11,6 @@
 const (
 	memberPrefix = "m/"
 	rumourPrefix = "r/"
-	// NeverAge is the age of the latest contact with the store without any.
-	NeverAge = -1
 )
 
 func memberKey(id string) string {
@@ -71,7 +69,7 @@
 }
 
 // Receive merges the content of a message.
-func (m *Table) Receive(now time.Time, from MemberUpdate, storeAgeMS int64, members []MemberUpdate, rumours []Rumour) {
+func (m *Table) Receive(now time.Time, from MemberUpdate, contact *StoreContact, members []MemberUpdate, rumours []Rumour) {
 	for _, u := range members[:min(len(members), MaxPiggyback)] {
 		m.Merge(now, u)
 	}
@@ -82,9 +80,7 @@
 			Expires: now.Add(time.Duration(r.TTLMS) * time.Millisecond),
 		})
 	}
-	if storeAgeMS >= 0 {
-		m.SetStoreContact(now.Add(-time.Duration(storeAgeMS) * time.Millisecond))
-	}
+	m.hearContact(now, contact)
 }
 
 // Page returns the live members and the rumours after the cursor, and the
@@ -150,28 +146,3 @@
 func (r *RumourEntry) wire(now time.Time) Rumour {
 	return Rumour{Key: r.Key, Value: r.Value, Version: r.Version, TTLMS: r.Expires.Sub(now).Milliseconds()}
 }
-
-// SetStoreContact records a contact of any router with the store.
-func (m *Table) SetStoreContact(at time.Time) {
-	if at.After(m.storeContact) {
-		m.storeContact = at
-	}
-}
-
-// StoreAge returns the time since the latest contact of any router with the
-// store that this router knows of.
-func (m *Table) StoreAge(now time.Time) (time.Duration, bool) {
-	if m.storeContact.IsZero() {
-		return 0, false
-	}
-	return max(0, now.Sub(m.storeContact)), true
-}
-
-// StoreAgeMS returns StoreAge in milliseconds, or NeverAge.
-func (m *Table) StoreAgeMS(now time.Time) int64 {
-	age, ok := m.StoreAge(now)
-	if !ok {
-		return NeverAge
-	}
-	return age.Milliseconds()
-}
--- a/disseminator/table.go
+++ b/disseminator/table.go
@@ -66,8 +66,8 @@
 	cursor int
 	// recheck holds members believed dead that another member believes alive.
 	recheck map[string]struct{}
-	// storeContact is the latest contact of any router with the store.
-	storeContact time.Time
+	// contacts holds the latest contact of each router with the store.
+	contacts map[string]contact
 	// nextDeadline is not after the earliest deadline of a record.
 	nextDeadline time.Time
 	nextSweep    time.Time
@@ -79,13 +79,14 @@
 func New(config Config, self bergamotdale.Member, random *rand.Rand) *Table {
 	self.State = bergamotdale.MemberAlive
 	t := &Table{
-		config:  config,
-		random:  random,
-		self:    Update(self),
-		records: map[string]*record{},
-		rumours: map[string]*RumourEntry{},
-		recheck: map[string]struct{}{},
-		version: 1,
+		config:   config,
+		random:   random,
+		self:     Update(self),
+		records:  map[string]*record{},
+		rumours:  map[string]*RumourEntry{},
+		recheck:  map[string]struct{}{},
+		contacts: map[string]contact{},
+		version:  1,
 	}
 	t.queue.Add(memberKey(self.ID))
 	return t
