quarantiner: a suspect's broken stream counts like a crash until its cause is known

Ruled out: slow gossip (entry and owner of the third engine were one router). Change: a broken stream of a suspect counts for 2 s like a crash for the limit. New requests of the fingerprint are refused (308 crash-in-doubt, not run, with the time that is left), the one in progress waits. The verdict ends it.

--- a/admitter/crash.go
+++ b/admitter/crash.go
@@ -20,6 +20,7 @@
 // not respond may be cut off as well, so its requests become suspects only if
 // it comes back with a new incarnation.
 func (a *Admission) inspectFailure(j *job, address string) bool {
+	a.env.Quarantine.Broke(j.completion.Fingerprint)
 	a.mu.Lock()
 	before := a.inspector.Broke(j.completion.Fingerprint)
 	a.mu.Unlock()
--- a/admitter/environment.go
+++ b/admitter/environment.go
@@ -95,6 +95,9 @@
 	Refusal(fingerprint string) *bergamotdale.Refusal
 	// MayRun reports whether the fingerprint may start beside the running ones.
 	MayRun(fingerprint string, running []string) bool
+	// Broke records that the stream of the fingerprint broke, and reports
+	// whether it is a suspect of an earlier crash.
+	Broke(fingerprint string) bool
 	// Crashed records the fingerprints that were running at a crash.
 	Crashed(endpoint string, fingerprints []string)
 	// Completed records that the fingerprint ran to its end.
--- a/code.go
+++ b/code.go
@@ -54,6 +54,7 @@
 	CodeNoEndpoint       Code = 305
 	CodeRetryBudgetSpent Code = 306
 	CodeStopping         Code = 307
+	CodeCrashInDoubt     Code = 308
 )
 
 // Results of calls that may run at most once.
@@ -112,6 +113,7 @@
 	CodeNoEndpoint:           {"no-endpoint", http.StatusServiceUnavailable, true},
 	CodeRetryBudgetSpent:     {"retry-budget-spent", http.StatusServiceUnavailable, true},
 	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
+	CodeCrashInDoubt:         {"crash-in-doubt", http.StatusServiceUnavailable, true},
 	CodeInProgress:           {"in-progress", http.StatusConflict, true},
 	CodeOutcomeUnknown:       {"outcome-unknown", http.StatusConflict, false},
 	CodeStoreUnavailable:     {"store-unavailable", http.StatusServiceUnavailable, true},
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -34,6 +34,10 @@
 func (d *directory) Owner(string) (bergamotdale.Member, bool)  { return d.owner, true }
 func (d *directory) Member(string) (bergamotdale.Member, bool) { return d.owner, true }
 
+type unsuspected struct{}
+
+func (unsuspected) Broke(string) bool { return false }
+
 type discard struct{}
 
 func (discard) Record(bergamotdale.Event) {}
@@ -107,7 +111,7 @@
 		Self:      "entry",
 		Directory: &directory{placer.NewGroup(candidates, 0), bergamotdale.Member{ID: owner, Address: strings.TrimPrefix(server.URL, "http://")}},
 		Local:     source{tokens}, Peer: peer, Clock: bergamotdale.SystemClock{}, Recorder: discard{}, Logger: zap.NewNop(),
-		Budget: retrier.NewBudget(),
+		Budget: retrier.NewBudget(), Suspects: unsuspected{},
 	}
 	body := json.RawMessage(`{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("apron ", 300) + `"}]}`)
 	cpu, i := cpuTime(), 0
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/placer"
+	"github.com/bergamotdale/bergamotdale/quarantiner"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/streamer"
 )
@@ -62,6 +63,13 @@
 	Dispatch(ctx context.Context, c bergamotdale.Completion) (bergamotdale.FrameStream, error)
 }
 
+// Suspects knows the requests that may have crashed endpoints.
+type Suspects interface {
+	// Broke records that the stream of the fingerprint broke at its endpoint,
+	// and reports whether it is a suspect of an earlier crash.
+	Broke(fingerprint string) bool
+}
+
 // Forwarder sends completions to the owners of their endpoints. Exported
 // fields are set before the first call.
 type Forwarder struct {
@@ -74,6 +82,7 @@
 	Recorder  bergamotdale.Recorder
 	Logger    *zap.Logger
 	Budget    *retrier.Budget
+	Suspects  Suspects
 }
 
 // Complete returns the stream of a completion. The stream survives the loss of
@@ -129,8 +138,9 @@
 	// redirected is true after the owner of the endpoint has changed under the
 	// request. Following it is not a retry.
 	redirected bool
-	// crashed is true after the endpoint crashed under the request.
-	crashed bool
+	// pause is the wait before the next stream: after the endpoint crashed under
+	// the request, or may have crashed under a suspect.
+	pause time.Duration
 	// exhausted is true once no endpoint has room; the refusal is final then.
 	exhausted bool
 }
@@ -142,10 +152,24 @@
 	}
 	r.redirected = refusal.Code == bergamotdale.CodeNotOwner
 	r.broken = !r.redirected
-	r.crashed = refusal.Code == bergamotdale.CodeEndpointFailed
+	r.pause = r.pauseAfter(refusal)
 	return true
 }
 
+// pauseAfter returns how long the request waits after a refusal. A suspect
+// whose stream broke waits until its owner knows whether the engine crashed.
+func (r *route) pauseAfter(refusal *bergamotdale.Refusal) time.Duration {
+	switch refusal.Code {
+	case bergamotdale.CodeEndpointFailed:
+		return crashWait
+	case bergamotdale.CodeStreamLost:
+		if r.forwarder.Suspects.Broke(r.completion.Fingerprint) {
+			return quarantiner.DoubtDuration
+		}
+	}
+	return 0
+}
+
 // open opens a stream for the rest of the response.
 func (r *route) open(ctx context.Context, p streamer.Position, attempt int) (bergamotdale.FrameStream, error) {
 	if attempt > 0 && !r.redirected {
@@ -156,11 +180,11 @@
 		}
 		r.record("request-retried", "")
 	}
-	if r.crashed {
-		r.crashed = false
-		if err := bergamotdale.Wait(ctx, r.forwarder.Clock, crashWait); err != nil {
+	if r.pause > 0 {
+		if err := bergamotdale.Wait(ctx, r.forwarder.Clock, r.pause); err != nil {
 			return nil, err
 		}
+		r.pause = 0
 	}
 	if r.broken && len(r.endpoints) > 1 {
 		r.endpoints = r.endpoints[1:]
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -83,6 +83,13 @@
 	return s.counts.MayRun(s.clock.Now(), quarantiner.Fingerprint(fingerprint), fingerprints(running))
 }
 
+// Broke implements dispatcher.Quarantine and forwarder.Suspects.
+func (s *Isolator) Broke(fingerprint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Broke(s.clock.Now(), quarantiner.Fingerprint(fingerprint))
+}
+
 // Crashed implements dispatcher.Quarantine.
 func (s *Isolator) Crashed(_ string, running []string) {
 	s.mu.Lock()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -16,6 +16,11 @@
 // a count from the future is accepted.
 const MaxClockSkew = time.Minute
 
+// DoubtDuration is for how long a broken stream counts like a crash while it
+// is not known whether the endpoint has crashed. A process that dies can still
+// answer a probe, and its crash shows in the load report after its restart.
+const DoubtDuration = 2 * time.Second
+
 // Settings configure a Quarantiner.
 type Settings struct {
 	// Router is the name under which this router counts.
@@ -40,11 +45,13 @@
 type Quarantiner struct {
 	settings Settings
 	records  map[Fingerprint]record
+	// doubts holds when the stream of a suspect broke last.
+	doubts map[Fingerprint]time.Time
 }
 
 // New returns a quarantiner without suspects.
 func New(s Settings) *Quarantiner {
-	return &Quarantiner{settings: s, records: map[Fingerprint]record{}}
+	return &Quarantiner{settings: s, records: map[Fingerprint]record{}, doubts: map[Fingerprint]time.Time{}}
 }
 
 // Suspect reports whether the fingerprint has an open crash.
@@ -57,6 +64,30 @@
 	return q.live(now, f).crashes()
 }
 
+// Broke records that a stream of the fingerprint broke while it is not known
+// whether its endpoint has crashed. It reports whether the fingerprint is a
+// suspect. Requests that are none are not remembered: one break says nothing.
+func (q *Quarantiner) Broke(now time.Time, f Fingerprint) bool {
+	if !q.Suspect(now, f) {
+		return false
+	}
+	q.doubts[f] = now
+	return true
+}
+
+// doubt returns for how much longer a broken stream counts like a crash.
+func (q *Quarantiner) doubt(now time.Time, f Fingerprint) time.Duration {
+	at, ok := q.doubts[f]
+	if !ok {
+		return 0
+	}
+	left := DoubtDuration - now.Sub(at)
+	if left <= 0 {
+		delete(q.doubts, f)
+	}
+	return left
+}
+
 // MayRun reports whether a request may start on an endpoint that runs the
 // given ones now. A suspect does not start beside another suspect; the same
 // fingerprint counts as one suspect.
@@ -72,9 +103,14 @@
 	return true
 }
 
-// Refusal returns the refusal of a quarantined fingerprint, or nil.
+// Refusal returns the refusal of a quarantined fingerprint, or of one that is
+// quarantined if its last broken stream was a crash; nil otherwise.
 func (q *Quarantiner) Refusal(now time.Time, f Fingerprint) *bergamotdale.Refusal {
 	r := q.live(now, f)
+	if doubt := q.doubt(now, f); doubt > 0 && r.crashes() == q.settings.Limit-1 {
+		return bergamotdale.Refuse(bergamotdale.CodeCrashInDoubt,
+			"this request crashed %d endpoints and may have crashed another one", r.crashes()).After(doubt)
+	}
 	if r.crashes() < q.settings.Limit {
 		return nil
 	}
@@ -133,6 +169,7 @@
 // Completed records a complete response to the request. It clears a suspect
 // that has not reached the limit, and returns the changed counts for gossip.
 func (q *Quarantiner) Completed(now time.Time, f Fingerprint) []Count {
+	delete(q.doubts, f)
 	r := q.live(now, f)
 	if n := r.crashes(); n == 0 || n >= q.settings.Limit {
 		return nil
@@ -231,6 +268,9 @@
 	for f := range q.records {
 		q.live(now, f)
 	}
+	for f := range q.doubts {
+		q.doubt(now, f)
+	}
 }
 
 // shrink drops the records with the oldest crashes above the bound.
@@ -243,6 +283,7 @@
 			}
 		}
 		delete(q.records, oldest)
+		delete(q.doubts, oldest)
 	}
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -56,6 +56,31 @@
 	})
 }
 
+// Guards against a poison request that its client repeats at once and that
+// starts on further endpoints while its third crash still looks like a broken
+// connection.
+func TestRepeatedSuspectWaitsForTheVerdict(t *testing.T) {
+	q := newQuarantiner("router-1")
+	assert.Assert(t, !q.Broke(start, "neighbour"))
+	q.Crash(start, []fingerprint{"poison"})
+	assert.Assert(t, q.Broke(start, "poison"))
+	assert.Assert(t, q.Refusal(start, "poison") == nil, "one crash and one broken stream are below the limit")
+	q.Crash(start, []fingerprint{"poison"})
+	q.Broke(start, "poison")
+	soon := start.Add(15 * time.Millisecond)
+	refusal := q.Refusal(soon, "poison")
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Code, bergamotdale.CodeCrashInDoubt)
+	assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeNotRun)
+	assert.Equal(t, refusal.RetryAfter, quarantiner.DoubtDuration-15*time.Millisecond)
+	// The endpoint had not crashed.
+	assert.Assert(t, q.Refusal(start.Add(quarantiner.DoubtDuration), "poison") == nil)
+	// It had.
+	q.Broke(soon, "poison")
+	q.Crash(soon, []fingerprint{"poison"})
+	assert.Equal(t, q.Refusal(soon, "poison").Code, bergamotdale.CodeQuarantined)
+}
+
 // Guards against routers that disagree after they have seen the same counts,
 // in whatever order and however often.
 func TestMergeConverges(t *testing.T) {
--- a/router/router.go
+++ b/router/router.go
@@ -237,5 +237,6 @@
 		Recorder:  r.recorder,
 		Logger:    r.Logger.Named("forwarder"),
 		Budget:    budget,
+		Suspects:  r.suspects,
 	}
 }
