--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -111,3 +111,34 @@
 	}
 	assert.Assert(t, won > 0 && won < 2000/4/4, "%d of 2000 keys", won)
 }
+
+// Guards against a rule that is measured as another one than its name says: the
+// load pattern is one endpoint that is busy and one shared beginning.
+func TestRules(t *testing.T) {
+	busy := endpoints(8)
+	subject := balancer.Subject{RequestID: "r", Key: "hot", Prompt: true}
+	hot := balancer.ConsistentHash.Place(subject, busy, balancer.Bound{Multiple: 2})
+	assert.Equal(t, hot, balancer.ByKey("hot", endpoints(8), balancer.Bound{Multiple: 2}))
+	busy[hot].Load = 60
+	at := func(r balancer.Rule) int { return r.Place(subject, busy, balancer.Bound{Multiple: 2}) }
+	assert.Equal(t, at(balancer.ConsistentHash), hot)
+	assert.Equal(t, at(balancer.LeastLoad), balancer.ByLoad("hot", busy))
+	assert.Equal(t, at(balancer.SharedPrefix), balancer.ByKey("hot", busy, balancer.Bound{Multiple: 2}))
+	assert.Assert(t, at(balancer.SharedPrefix) != hot)
+	chosen := map[int]bool{}
+	for r := range 100 {
+		subject.RequestID = fmt.Sprint(r)
+		chosen[at(balancer.Random)] = true
+	}
+	assert.Equal(t, len(chosen), len(busy))
+	for _, r := range balancer.Rules() {
+		assert.Equal(t, r.Place(subject, nil, balancer.Bound{}), -1)
+		for i := range busy {
+			busy[i].Suspended = i != 3
+		}
+		assert.Equal(t, at(r), 3, r)
+		for i := range busy {
+			busy[i].Suspended = false
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/gossiper"
@@ -181,6 +182,7 @@
 func (g *Gateway) apply(s *loader.GatewaySettings) {
 	g.relayer.SetLimits(relayer.Limits{
 		MaxKeyAge:    s.Promises.KeyRevocation,
+		Placement:    balancer.Rule(s.Placement),
 		LoadMultiple: s.Promises.LoadMultiple,
 		RetryRatio:   s.Promises.RetryRatio,
 		RetrySlack:   s.Promises.RetrySlack,
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/decoder"
 )
 
@@ -24,8 +25,10 @@
 	// Memory is the memory of the VM that this process may use.
 	Memory Size `yaml:"memory" min:"32MiB" max:"1024GiB"`
 	// StopDeadline is the time after SIGTERM at which the process is killed.
-	StopDeadline time.Duration  `yaml:"stop-deadline" min:"1s" max:"24h"`
-	Promises     GatewayPromise `yaml:"promises"`
+	StopDeadline time.Duration `yaml:"stop-deadline" min:"1s" max:"24h"`
+	// Placement is a balancer.Rule.
+	Placement string         `yaml:"placement" oneof:"shared-prefix consistent-hash least-load random"`
+	Promises  GatewayPromise `yaml:"promises"`
 }
 
 // GatewayListen holds the addresses that a gateway serves on.
@@ -54,6 +57,7 @@
 	s.LogLevel = "info"
 	s.Memory = 256 << 20
 	s.StopDeadline = 10 * time.Second
+	s.Placement = string(balancer.SharedPrefix)
 	s.Promises.SetDefaults()
 }
 
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -235,10 +235,10 @@
 	now := r.Clock.Now()
 	endpoints := r.Directory.State().Endpoints(j.service)
 	candidates, records := r.Tracker.Candidates(now, endpoints, r.Domain, j.tried)
-	at := balancer.ByLoad(j.key, candidates)
-	if len(j.envelope.Parts) > 0 {
-		at = balancer.ByKey(j.key, candidates, r.bound())
-	}
+	limits := r.limits.Load()
+	at := limits.Placement.Place(balancer.Subject{
+		RequestID: j.envelope.RequestID, Key: j.key, Prompt: len(j.envelope.Parts) > 0,
+	}, candidates, balancer.Bound{Multiple: limits.LoadMultiple})
 	if at < 0 {
 		return subscriber.Endpoint{}, bergamotdale.Refuse(bergamotdale.CodeNoEndpoint,
 			"service %s has %d endpoints, %d tried", j.service, len(endpoints), len(j.tried)).After(refusedRetryAfter)
@@ -252,7 +252,7 @@
 func (j *job) copySource(target string, endpoints []subscriber.Endpoint, candidates []balancer.Candidate) string {
 	r := j.relayer
 	service := r.Directory.State().Table.Service(j.service)
-	if len(j.envelope.Parts) < 2 || service == nil || !service.CopiesCache {
+	if len(j.envelope.Parts) < 2 || service == nil || !service.CopiesCache || !r.limits.Load().Placement.CopiesPrompts() {
 		return ""
 	}
 	suspended := map[string]bool{}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -54,6 +54,8 @@
 	// MaxKeyAge is the age of the configuration up to which API keys are
 	// trusted; zero means any.
 	MaxKeyAge time.Duration
+	// Placement is the rule by which endpoints are chosen.
+	Placement balancer.Rule
 	// LoadMultiple is the largest load of an endpoint relative to the mean.
 	LoadMultiple float64
 	// RetryRatio and RetrySlack bound the repeated sends of all routers to a
@@ -146,8 +148,3 @@
 	age, _ := r.Directory.Age()
 	return screener.Knowledge{Table: r.Directory.State().Table, Age: age, MaxKeyAge: r.limits.Load().MaxKeyAge}
 }
-
-// bound returns the load bound of model engines.
-func (r *Relayer) bound() balancer.Bound {
-	return balancer.Bound{Multiple: r.limits.Load().LoadMultiple}
-}
