replicator: observers in each failure domain; exchanger: half the rate from 96 routers on

Load pattern: 300 routers, 3,000 endpoints and a release. Bytes between domains were the largest price, and two thirds of a router's bytes were changes that its observer sent it, mostly from another domain. Change: each domain has its observers (one for 16 routers, three in all at least); a follower asks those of its domain first. From 96 routers on the loads are exchanged every 0.4 s: a sample of ten routers in the 2 s that a load counts.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -20,10 +20,14 @@
 	// interval is the time between two exchanges of a router. With nine
 	// routers every pair speaks about every half second.
 	interval = 100 * time.Millisecond
-	// largeInterval applies from largeFleet routers on: an exchange takes about
-	// 1 KB, and a router may spend 15 KB/s on control.
+	// largeInterval applies from largeFleet routers on and hugeInterval from
+	// hugeFleet on: an exchange takes about 1 KB on both sides, and a router may
+	// spend 15 KB/s on control. Five exchanges started and as many answered in
+	// tracker's 2 s are a sample of ten routers.
 	largeInterval = 200 * time.Millisecond
 	largeFleet    = 16
+	hugeInterval  = 400 * time.Millisecond
+	hugeFleet     = 96
 	// callTimeout bounds an exchange. Routers are milliseconds apart.
 	callTimeout = 300 * time.Millisecond
 )
@@ -55,10 +59,7 @@
 		if len(order) == 0 {
 			order = x.others()
 			x.Tracker.SetRouters(len(order) + 1)
-			pause = interval
-			if len(order) >= largeFleet {
-				pause = largeInterval
-			}
+			pause = Interval(len(order))
 		}
 		if len(order) > 0 {
 			x.exchange(ctx, order[0])
@@ -68,6 +69,19 @@
 	return ctx.Err()
 }
 
+// Interval returns the time between two exchanges of a router with that many
+// others.
+func Interval(others int) time.Duration {
+	switch {
+	case others >= hugeFleet:
+		return hugeInterval
+	case others >= largeFleet:
+		return largeInterval
+	default:
+		return interval
+	}
+}
+
 // others returns the other routers in a random order.
 func (x *Exchanger) others() []bergamotdale.Member {
 	var others []bergamotdale.Member
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,14 +147,20 @@
 		Self: g.self.ID, Store: do.MustInvoke[bergamotdale.ChangeStore](i), Peer: peer,
 		Logger: g.Logger.Named("replicator"), Members: g.gossiper.Live,
 	}
+	start := relayer.NewStart(relayer.StartGrace)
 	g.directory = &subscriber.Subscriber{
-		Store:    g.source,
-		Dialect:  dialect,
-		Layout:   do.MustInvoke[bergamotdale.Layout](i),
-		Clock:    g.clock,
-		Elapsed:  g.Elapsed,
-		Logger:   g.Logger.Named("subscriber"),
-		Changed:  func(s *subscriber.State) { g.tracker.Update(g.clock.Now(), s) },
+		Store:   g.source,
+		Dialect: dialect,
+		Layout:  do.MustInvoke[bergamotdale.Layout](i),
+		Clock:   g.clock,
+		Elapsed: g.Elapsed,
+		Logger:  g.Logger.Named("subscriber"),
+		Changed: func(s *subscriber.State) {
+			g.tracker.Update(g.clock.Now(), s)
+			if s.Table != nil {
+				start.End()
+			}
+		},
 		Observed: func(b bergamotdale.Batch) { g.replica.Apply(b, g.source.Direct()) },
 	}
 	g.replica = replicator.NewReplica(g.directory.Age)
@@ -175,6 +181,7 @@
 		Health:     g.pacer,
 		Clock:      g.clock,
 		Logger:     g.Logger.Named("relayer"),
+		Start:      start,
 		Routers:    func() int { return max(1, len(g.gossiper.Live())) },
 		Refusing:   g.refusing,
 		Finished:   func(r relayer.Report) { g.meter.Finished(string(r.Kind), r.Outcome, r.Status, r.First, r.Total) },
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -170,6 +170,19 @@
 
 // start serves a relayer before the endpoints with one route of the kind.
 func start(t *testing.T, route bergamotdale.Route, endpoints ...*endpoint) *httptest.Server {
+	r := newRelayer(t, route, endpoints...)
+	r.Start.End()
+	return serve(t, r)
+}
+
+func serve(t *testing.T, r *relayer.Relayer) *httptest.Server {
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// newRelayer returns a relayer before the endpoints that has not started yet.
+func newRelayer(t *testing.T, route bergamotdale.Route, endpoints ...*endpoint) *relayer.Relayer {
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Targets = []bergamotdale.RouteTarget{{Service: "s", Weight: 1}}
 	config := bergamotdale.TrafficConfig{
@@ -206,11 +219,10 @@
 		Routers:  func() int { return 1 },
 		Refusing: func() *bergamotdale.Refusal { return nil },
 		Finished: func(relayer.Report) {},
+		Start:    relayer.NewStart(time.Minute),
 	}
 	r.SetLimits(relayer.Limits{MaxKeyAge: time.Minute, LoadMultiple: 2, RetryRatio: 0.2, RetrySlack: 50})
-	server := httptest.NewServer(r)
-	t.Cleanup(server.Close)
-	return server
+	return r
 }
 
 // response is what a client got.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -89,6 +89,7 @@
 	Health *pacer.Pacer
 	Clock  bergamotdale.Clock
 	Logger *zap.Logger
+	Start  *Start
 	// Routers returns the number of live routers, at least 1.
 	Routers func() int
 	// Refusing returns a refusal for new requests while the router stops.
@@ -109,6 +110,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relayer: r, writer: w, request: req, arrival: r.Clock.Now(), tried: map[string]bool{}}
+	r.Start.Wait(req.Context())
 	if refusal := j.accept(); refusal != nil {
 		j.refuse(refusal)
 		j.report()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/relayer"
+	"github.com/bergamotdale/bergamotdale/subscriber"
 )
 
 var (
@@ -287,3 +289,40 @@
 	got := call(t, start(t, route, startEndpoint(t, s), startEndpoint(t, s)), http.MethodGet, "r1", "")
 	assert.Equal(t, got.body, "good")
 }
+
+// unread is a directory before and after its first read.
+type unread struct {
+	relayer.Directory
+	read atomic.Bool
+}
+
+func (u *unread) State() *subscriber.State {
+	if !u.read.Load() {
+		return &subscriber.State{}
+	}
+	return u.Directory.State()
+}
+
+// Guards against refusals in the moment between the start of a process and its
+// first configuration, and against requests that are held beyond that.
+func TestFirstRequestsWaitForTheConfiguration(t *testing.T) {
+	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 200, "pong") })
+	r := newRelayer(t, often, e)
+	directory := &unread{Directory: r.Directory}
+	r.Directory = directory
+	server := serve(t, r)
+	answered := make(chan response)
+	go func() { answered <- call(t, server, http.MethodGet, "r1", "") }()
+	select {
+	case got := <-answered:
+		t.Fatalf("answered with %d before the configuration was read", got.status)
+	case <-time.After(50 * time.Millisecond):
+	}
+	directory.read.Store(true)
+	r.Start.End()
+	assert.Equal(t, (<-answered).status, 200)
+
+	directory.read.Store(false)
+	r.Start = relayer.NewStart(10 * time.Millisecond)
+	assert.Equal(t, call(t, server, http.MethodGet, "r2", "").status, http.StatusServiceUnavailable)
+}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,29 +89,75 @@
 // Guards against every router watching the store of a large fleet, and against
 // too few observers to lose one.
 func TestObservers(t *testing.T) {
-	var ids []string
+	var members []bergamotdale.Member
 	for i := range 360 {
-		ids = append(ids, fmt.Sprintf("r%d", i))
-		n := len(replicator.Observers(ids))
+		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i)})
+		n := len(replicator.Observers(members))
 		switch {
-		case len(ids) <= 16:
+		case len(members) <= 16:
 			assert.Equal(t, n, 0)
 		default:
-			assert.Assert(t, n >= 3 && n <= len(ids)/16+3, "%d observers of %d", n, len(ids))
+			assert.Assert(t, n >= 3 && n <= len(members)/16+3, "%d observers of %d", n, len(members))
 		}
 	}
 }
 
+// Guards against changes that cross failure domains once for each follower: the
+// load pattern is a release of thousands of endpoints beside 300 routers.
+func TestObserversOfEachDomain(t *testing.T) {
+	var members []bergamotdale.Member
+	for i := range 300 {
+		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i), FailureDomain: fmt.Sprintf("d%d", i%4)})
+	}
+	observers := replicator.Observers(members)
+	assert.Assert(t, len(observers) <= 300/16+4, "%d observers", len(observers))
+	domains := map[string]int{}
+	for _, m := range members {
+		if slices.Contains(observers, m.ID) {
+			domains[m.FailureDomain]++
+		}
+	}
+	assert.Equal(t, len(domains), 4)
+	for domain, n := range domains {
+		assert.Assert(t, n*16 >= 75, "domain %s has %d observers for 75 routers", domain, n)
+	}
+}
+
+// Guards against a follower that asks an observer of another domain while its
+// own has one that answers.
+func TestFollowerStaysInItsDomain(t *testing.T) {
+	var members []bergamotdale.Member
+	for i := range 40 {
+		domain := fmt.Sprintf("d%d", i%4)
+		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i), Address: domain, FailureDomain: domain})
+	}
+	observers := replicator.Observers(members)
+	for _, m := range members {
+		if slices.Contains(observers, m.ID) {
+			continue
+		}
+		p := &peers{response: replicator.Response{Usable: true, Revision: 12}}
+		source := &replicator.Source{Self: m.ID, Store: &store{}, Peer: p, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
+		_, err := source.Changes(context.Background(), "", 9, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, p.called, 1)
+		assert.Equal(t, p.address, m.FailureDomain)
+	}
+}
+
 // peers answers calls as other routers would.
 type peers struct {
 	bergamotdale.Peer
 	response replicator.Response
 	err      error
 	called   int
+	// address is that of the latest call.
+	address string
 }
 
-func (p *peers) Call(_ context.Context, _, _ string, _, response any) error {
+func (p *peers) Call(_ context.Context, address, _ string, _, response any) error {
 	p.called++
+	p.address = address
 	*response.(*replicator.Response) = p.response
 	return p.err
 }
@@ -136,18 +183,10 @@
 	for i := range routers {
 		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i)})
 	}
-	ids := make([]string, len(members))
-	for i, m := range members {
-		ids[i] = m.ID
-	}
 	self := ""
-	for _, id := range ids {
-		observer := false
-		for _, o := range replicator.Observers(ids) {
-			observer = observer || o == id
-		}
-		if !observer {
-			self = id
+	for _, m := range members {
+		if !slices.Contains(replicator.Observers(members), m.ID) {
+			self = m.ID
 		}
 	}
 	return &replicator.Source{Self: self, Store: s, Peer: p, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -10,19 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
-	"github.com/bergamotdale/bergamotdale/hasher"
 )
 
 const (
-	// directFleet is the size of a fleet up to which every router watches the
-	// store itself.
-	directFleet = 16
-	// routersPerObserver is how many routers share one observer beyond that.
-	routersPerObserver = 16
-	// minObservers lets followers find the next one when an observer is lost.
-	minObservers = 3
-	// observerKey orders the routers for the choice of observers.
-	observerKey = "store-observers"
 	// observerWait is how long an observer's watch lasts. It is short, so that
 	// followers soon see whether their observer still reaches the store.
 	observerWait = 300 * time.Millisecond
@@ -49,16 +39,6 @@
 	maxObserversTried = 2
 )
 
-// Observers returns the IDs of the routers that watch the store, or nil if all
-// of them do. Every router that knows the same members computes the same.
-func Observers(members []string) []string {
-	if len(members) <= directFleet {
-		return nil
-	}
-	n := max(minObservers, (len(members)+routersPerObserver-1)/routersPerObserver)
-	return hasher.Order(observerKey, members)[:n]
-}
-
 // Source is the store as a router reaches it: directly or by an observer. It
 // implements bergamotdale.ChangeStore. Exported fields are set before use.
 type Source struct {
@@ -174,22 +154,25 @@
 
 // observers returns the observers to ask, and whether this router is one.
 func (s *Source) observers() ([]bergamotdale.Member, bool) {
-	members := map[string]bergamotdale.Member{}
-	ids := []string{s.Self}
-	for _, m := range s.Members() {
-		if m.ID != s.Self {
-			ids = append(ids, m.ID)
-			members[m.ID] = m
+	self := bergamotdale.Member{ID: s.Self}
+	members, domains := map[string]bergamotdale.Member{}, map[string]string{}
+	all := s.Members()
+	for _, m := range all {
+		members[m.ID], domains[m.ID] = m, m.FailureDomain
+		if m.ID == s.Self {
+			self = m
 		}
 	}
-	all := Observers(ids)
-	if slices.Contains(all, s.Self) {
+	if _, known := members[s.Self]; !known {
+		all = append(slices.Clone(all), self)
+	}
+	observers := Observers(all)
+	if slices.Contains(observers, s.Self) {
 		return nil, true
 	}
-	// Followers spread over the observers by their own names.
 	now := time.Now()
 	var chosen []bergamotdale.Member
-	for _, id := range hasher.Order(s.Self, all) {
+	for _, id := range preferred(self, observers, domains) {
 		if len(chosen) < maxObserversTried && !now.Before(s.avoided[id]) {
 			chosen = append(chosen, members[id])
 		}
