--- a/balancer/rule.go
+++ b/balancer/rule.go
@@ -18,7 +18,7 @@
 	// LeastLoad places every request by ByLoad.
 	LeastLoad Rule = "least-load"
 	// Random places every request by chance. The last three are there to be
-	// measured against (docs/design.md, section 9).
+	// measured against (docs/design.md, section 12).
 	Random Rule = "random"
 )
 
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -188,7 +188,7 @@
 		}
 		failure := j.attempt(ctx, target)
 		if failure == nil {
-			j.outcome = "complete"
+			j.complete()
 			return
 		}
 		if ctx.Err() != nil || failure.final {
@@ -216,6 +216,15 @@
 	}
 }
 
+// complete ends the request with the response that the client got.
+func (j *job) complete() {
+	j.outcome = "complete"
+	if j.status >= http.StatusInternalServerError {
+		j.outcome, j.code = "endpoint-error", bergamotdale.CodeEndpointFailed
+		j.cause = errors.Errorf("endpoint %s answered with status %d", j.endpoint, j.status)
+	}
+}
+
 // decide returns whether the request may be sent to another endpoint after the
 // failure.
 func (j *job) decide(refusal *bergamotdale.Refusal) retrier.Decision {
@@ -286,7 +295,7 @@
 // finish ends the request with a refusal.
 func (j *job) finish(ctx context.Context, refusal *bergamotdale.Refusal) {
 	if j.request.Context().Err() != nil {
-		j.outcome, j.code, j.cause = "client-gone", refusal.Code, refusal.Cause
+		j.outcome, j.code, j.cause = "client-gone", refusal.Code, refusal
 		j.broken = true
 		return
 	}
@@ -295,7 +304,7 @@
 			WithOutcome(refusal.Outcome).WithCause(refusal.Cause)
 	}
 	if j.started {
-		j.outcome, j.code, j.cause = "broken", refusal.Code, refusal.Cause
+		j.outcome, j.code, j.cause = "broken", refusal.Code, refusal
 		j.broken = true
 		return
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
@@ -326,3 +328,36 @@
 	r.Start = relayer.NewStart(10 * time.Millisecond)
 	assert.Equal(t, call(t, server, http.MethodGet, "r2", "").status, http.StatusServiceUnavailable)
 }
+
+// Guards against failed requests whose lines are left out with those of good
+// ones, or do not name the cause.
+func TestLinesOfFailedRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		script script
+		route  bergamotdale.Route
+		want   string
+	}{
+		"endpoint-error": {func(_ int, r *http.Request, c net.Conn) bool { return answer(c, r, 500, "") }, once, "answered with status 500"},
+		"broken": {func(_ int, r *http.Request, c net.Conn) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 100\r\n\r\nid: 1\ndata: a\n\n")
+			return false
+		}, single, "endpoint-failed (502): endpoint e0 broke off its stream after 1 events"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRelayer(t, c.route, startEndpoint(t, c.script))
+			core, lines := observer.New(zap.WarnLevel)
+			r.Logger = zap.New(core)
+			reported := make(chan struct{})
+			r.Finished = func(relayer.Report) { close(reported) }
+			r.Start.End()
+			call(t, serve(t, r), http.MethodGet, "r1", "")
+			<-reported
+			found := lines.FilterMessage("request").All()
+			assert.Equal(t, len(found), 1)
+			fields := found[0].ContextMap()
+			assert.Equal(t, fields["outcome"], name)
+			assert.Equal(t, fields["request-id"], "r1")
+			assert.Assert(t, strings.Contains(fmt.Sprint(fields["error"]), c.want), "%v", fields["error"])
+		})
+	}
+}
