gateway: a stopping router stays for the requests that are under way

With nothing running the router left within 20 ms, so a request whose packet TCP had to repeat met no process. Change: requests are refused for 0.5 s before connections are closed, and the process stays 0.3 s after its last response.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -19,6 +19,13 @@
 	// the platform has noticed, from two answers a second apart, that it is not
 	// ready.
 	acceptAfterStop = 2800 * time.Millisecond
+	// refuseAfterStop is how long it refuses requests after that before it closes
+	// its connections: a client that connected in the last moment has its request
+	// under way, and TCP repeats a lost packet after 0.2 to 0.4 s.
+	refuseAfterStop = 500 * time.Millisecond
+	// settleAfterStop is how long the process stays after its last response, so
+	// that a lost packet of it is repeated.
+	settleAfterStop = 300 * time.Millisecond
 	// stopMargin is how long before the deadline the last requests are ended.
 	stopMargin = 500 * time.Millisecond
 	// stopPoll is how often a planned stop looks for running requests.
@@ -60,13 +67,17 @@
 	g.stopping.Store(true)
 	g.gossiper.SetDraining()
 	clients.DisableKeepAlives()
-	if bergamotdale.Wait(failed, g.clock, acceptAfterStop) != nil {
+	// A short deadline leaves half of its time to the requests in progress.
+	accept := min(acceptAfterStop, deadline.Sub(begun)/2)
+	if bergamotdale.Wait(failed, g.clock, accept) != nil {
 		return nil
 	}
 	g.closed.Store(true)
 	drain, cancel := context.WithTimeout(failed, deadline.Sub(g.clock.Now()))
 	defer cancel()
-	clients.Shutdown(drain)
+	if bergamotdale.Wait(drain, g.clock, refuseAfterStop) == nil {
+		clients.Shutdown(drain)
+	}
 	for g.active.Load() > 0 {
 		if bergamotdale.Wait(drain, g.clock, stopPoll) != nil {
 			break
@@ -76,5 +87,8 @@
 	leave, cancelLeave := context.WithTimeout(failed, leaveTimeout)
 	defer cancelLeave()
 	g.gossiper.Leave(leave)
+	if err := bergamotdale.Wait(drain, g.clock, settleAfterStop); err != nil {
+		g.Logger.Warn("stopped at the deadline", zap.Error(err))
+	}
 	return errStopped
 }
