assigner: split from router what is derived from the view

What its parts need of the view (owned engines and shards, admission policy, groups of loads, quotas, endpoints of services) is a package of functions without state; the adapters of the elector and the aggregator have a file of their own.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -127,7 +127,7 @@
 
 func (quarantine) Refusal(string) *bergamotdale.Refusal { return nil }
 func (quarantine) MayRun(string, []string) bool         { return true }
-func (quarantine) Broke(string) bool                      { return false }
+func (quarantine) Broke(string) bool                    { return false }
 func (quarantine) Crashed(string, []string)             {}
 func (quarantine) Completed(string)                     {}
 
--- /dev/null
+++ b/router/ownership.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+
+	"github.com/bergamotdale/bergamotdale/elector"
+	"github.com/bergamotdale/bergamotdale/placer"
+)
+
+// ownership is the elector as the dispatcher needs it.
+type ownership struct {
+	router *Router
+}
+
+// Admits implements dispatcher.Ownership.
+func (o *ownership) Admits(endpoint string) bool {
+	return o.router.mode(endpoint) != elector.ModeNone
+}
+
+// Expired implements dispatcher.Ownership.
+func (o *ownership) Expired() bool {
+	return o.router.elector.Lease.Mode() != elector.ModeFull
+}
+
+// Confirmed implements dispatcher.Ownership.
+func (o *ownership) Confirmed(endpoint string, epoch int64) {
+	o.router.elector.ConfirmFull(endpoint, epoch)
+}
+
+// loads is the aggregator as the dispatcher needs it.
+type loads struct {
+	router *Router
+}
+
+// group returns the model group of a model or adapter.
+func (l *loads) group(model string) string {
+	v := l.router.views.Current()
+	if v.Config() == nil {
+		return model
+	}
+	if m, ok := v.Config().Model(model); ok {
+		return m.Group()
+	}
+	return model
+}
+
+// Mean implements dispatcher.Loads.
+func (l *loads) Mean(model string) (placer.Mean, bool) {
+	mean, ok := l.router.loads.Mean(l.group(model))
+	if !ok {
+		return placer.Mean{}, false
+	}
+	return placer.Mean{Load: mean.Total, Engines: mean.Endpoints, Age: mean.Age}, true
+}
+
+// Refresh implements dispatcher.Loads.
+func (l *loads) Refresh(model string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+	defer cancel()
+	return l.router.loads.Refresh(ctx, l.group(model))
+}
+
+// Changed implements dispatcher.Loads.
+func (l *loads) Changed() {
+	l.router.loads.Nudge()
+}
+
+// LeastLoaded implements dispatcher.Loads.
+func (l *loads) LeastLoaded(model, except string) string {
+	mean, ok := l.router.loads.Mean(l.group(model))
+	if !ok {
+		return ""
+	}
+	v := l.router.views.Current()
+	for _, s := range mean.LeastLoaded {
+		if s.Endpoint != except && !v.Draining(s.Endpoint) {
+			return s.Endpoint
+		}
+	}
+	return ""
+}
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/admitter"
 	"github.com/bergamotdale/bergamotdale/aggregator"
+	"github.com/bergamotdale/bergamotdale/assigner"
 	"github.com/bergamotdale/bergamotdale/caller"
 	"github.com/bergamotdale/bergamotdale/dispatcher"
 	"github.com/bergamotdale/bergamotdale/elector"
@@ -186,10 +187,10 @@
 	r.views = &viewer.Viewer{Self: r.self.ID, Clock: r.clock, Follower: r.follower, Gossiper: r.gossiper, Elector: r.elector, VMs: r.vms}
 	r.loads = aggregator.New(r.self.ID, r.peer, r.gossiper, r.clock)
 	r.loads.Logger = r.Logger.Named("aggregator")
-	r.loads.Groups = r.loadGroups
+	r.loads.Groups = func() []aggregator.Group { return assigner.Groups(r.views.Current(), r.dispatch.Report()) }
 	r.quotas = quoter.New(r.self.ID, r.peer, r.gossiper, r.clock)
 	r.quotas.Logger = r.Logger.Named("quoter")
-	r.quotas.Rate = r.tokenRate
+	r.quotas.Rate = func(workspace string) (float64, bool) { return assigner.TokenRate(r.views.Current(), workspace) }
 	r.suspects = isolator.New(r.self.ID, r.clock, r.gossiper)
 }
 
@@ -212,7 +213,7 @@
 		Service:   do.MustInvoke[bergamotdale.Service](i),
 		Clock:     r.clock,
 		Recorder:  r.recorder,
-		Endpoints: r.serviceEndpoints,
+		Endpoints: func(service string) []caller.Endpoint { return assigner.ServiceEndpoints(r.views.Current(), service) },
 		Timeout:   caller.DefaultTimeout,
 		Budget:    budget,
 	}
