dispatcher: a repeat after a failure runs instead of reading the failure again

The entry router had repeated it every second, and each repeat that reached an engine of the same owner was attached to the replay buffer of the failed attempt, which ended at once with the same refusal. Ruled out: the quarantine (suspects were counted rightly, 4 crashes at most), the load bound, a lost gossip message. Change: Replayer.Resume gives nothing to replay where a response failed and the reader has all that came before; Dispatch then admits the request anew. Figures: RepeatAfterAFailureRunsAgain fails before (no second run within 10 s), passes after.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -269,3 +269,51 @@
 	_, highest := e.count()
 	assert.Equal(t, highest, limit)
 }
+
+// Guards against a repeat that gets the failure of the attempt before instead of
+// running: after a crash the entry router sends the rest of a request to another
+// engine, which the same router may own. Each such repeat cost an attempt, a
+// second and a token of the retry budget (TestPoisonRequestIsQuarantined, the
+// refusal of a neighbour 7 s after the crash).
+func TestRepeatAfterAFailureRunsAgain(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	e := &fakeEngine{running: map[string]*blockedStream{}}
+	d := newDispatcher(t, e)
+	assert.NilError(t, fleettester.Await(ctx, func() bool {
+		assign(d, 1)
+		return len(d.Report()) == 1
+	}))
+	running := func(n int) func() bool {
+		return func() bool {
+			running, _ := e.count()
+			return running == n
+		}
+	}
+	c := bergamotdale.Completion{
+		RequestID: "r", Workspace: "a", PriorityClass: "only", Endpoint: "engine-1", PromptTokens: 1, MaxTokens: 10,
+	}
+	stream, err := d.Dispatch(ctx, c)
+	assert.NilError(t, err)
+	failed := make(chan bergamotdale.Frame, 1)
+	go func() {
+		for {
+			f, err := stream.Next()
+			if err != nil || f.Kind == bergamotdale.FrameRefusal {
+				failed <- f
+				return
+			}
+		}
+	}()
+	assert.NilError(t, fleettester.Await(ctx, running(1)))
+	assert.NilError(t, fleettester.Await(ctx, func() bool {
+		e.breakAll()
+		return len(failed) > 0
+	}))
+	assert.Equal(t, (<-failed).Kind, bergamotdale.FrameRefusal)
+	assert.NilError(t, fleettester.Await(ctx, running(0)))
+	c.Attempt = 1
+	_, err = d.Dispatch(ctx, c)
+	assert.NilError(t, err)
+	assert.NilError(t, fleettester.Await(ctx, running(1)))
+}
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -117,6 +117,20 @@
 	return &reader{ctx: ctx, buffer: b, offset: offset, done: make(chan struct{})}, nil
 }
 
+// Resume is Read for a request that may run again: it also returns ErrNoReplay
+// where the response has failed and there is nothing before its failure that
+// the reader lacks.
+func (r *Replayer) Resume(ctx context.Context, requestID string, offset int) (bergamotdale.FrameStream, error) {
+	r.lock.Lock()
+	b := r.buffers[requestID]
+	failed := b != nil && b.replaceable() && offset >= b.verifier.Position().Offset
+	r.lock.Unlock()
+	if failed {
+		return nil, errors.Annotatef(ErrNoReplay, "%s has failed", requestID)
+	}
+	return r.Read(ctx, requestID, offset)
+}
+
 // Sweep removes the buffers whose retention has passed.
 func (r *Replayer) Sweep() {
 	r.lock.Lock()
