engineserver: tokens count as generated before they are sent

Ruled out by reading: the cache (it holds prompts only), the slot. Change: the count rises before the write.

--- a/engineserver/execution.go
+++ b/engineserver/execution.go
@@ -137,10 +137,13 @@
 		tokens = append(tokens, e.req.Token(e.run.Tokens+len(tokens)))
 		due = due.Add(interval)
 	}
-	if err := e.out.Data(e.run.Tokens, tokens); err != nil {
+	// Tokens count as generated before they are sent: a client may have them
+	// although the write reports its cancellation.
+	offset := e.run.Tokens
+	e.run.Tokens += len(tokens)
+	if err := e.out.Data(offset, tokens); err != nil {
 		return due, errors.Trace(err)
 	}
-	e.run.Tokens += len(tokens)
 	e.server.stats.generate(len(tokens))
 	return due, nil
 }
