--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,13 +126,7 @@
 	g.clock = do.MustInvoke[bergamotdale.Clock](i)
 	peer := do.MustInvoke[bergamotdale.Peer](i)
 	dialect := do.MustInvoke[bergamotdale.Dialect](i)
-	g.self = bergamotdale.Member{
-		ID:            g.Settings.ID,
-		Address:       g.Settings.Listen.Peers,
-		FailureDomain: g.Settings.FailureDomain,
-		Incarnation:   g.clock.Now().UnixNano(),
-		State:         bergamotdale.MemberAlive,
-	}
+	g.self = bergamotdale.NewMember(g.Settings.ID, g.Settings.Listen.Peers, g.Settings.FailureDomain, g.clock.Now())
 	metrics, err := meter.New()
 	if err != nil {
 		return errors.Trace(err)
--- a/member.go
+++ b/member.go
@@ -1,5 +1,7 @@
 package bergamotdale
 
+import "time"
+
 // MemberState is what a router believes about another router.
 type MemberState string
 
@@ -29,6 +31,13 @@
 	State       MemberState `json:"state"`
 }
 
+// NewMember returns the member that a process starting at the time is.
+func NewMember(id, address, failureDomain string, start time.Time) Member {
+	return Member{
+		ID: id, Address: address, FailureDomain: failureDomain, Incarnation: start.UnixNano(), State: MemberAlive,
+	}
+}
+
 // Ownership is who admits work to an endpoint or owns a shard.
 type Ownership struct {
 	// Name is the endpoint name, or "shard/<n>".
--- a/router/router.go
+++ b/router/router.go
@@ -141,13 +141,7 @@
 	r.recorder = do.MustInvoke[bergamotdale.Recorder](i)
 	store := do.MustInvoke[bergamotdale.Store](i)
 	r.started = r.clock.Now()
-	r.self = bergamotdale.Member{
-		ID:            r.Settings.ID,
-		Address:       r.Settings.Listen.Peers,
-		FailureDomain: r.Settings.FailureDomain,
-		Incarnation:   r.clock.Now().UnixNano(),
-		State:         bergamotdale.MemberAlive,
-	}
+	r.self = bergamotdale.NewMember(r.Settings.ID, r.Settings.Listen.Peers, r.Settings.FailureDomain, r.clock.Now())
 	metrics, err := meter.New()
 	if err != nil {
 		return errors.Trace(err)
