--- a/platformserver/platformserver_test.go
+++ b/platformserver/platformserver_test.go
@@ -71,9 +71,11 @@
 }
 
 // Guards against a value of the maximum size that is truncated or rejected, and
-// against a larger one that is accepted.
+// against a larger one that is accepted. The client has no timeout that the race
+// detector on a busy machine could exceed: the test checks content, not speed.
 func TestLargestValue(t *testing.T) {
 	c, ctx := start(t, &platformserver.Server{})("a"), context.Background()
+	c.Timeout = time.Minute
 	largest := bytes.Repeat([]byte{0xff}, 1<<20)
 	e, err := c.CompareAndSwap(ctx, "k", largest, 0)
 	assert.NilError(t, err)
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -16,9 +16,10 @@
 // Guards against a workspace that gets more than its quota because it sends
 // requests through several routers, and against routers that do not enforce it.
 // A workspace that gets much less than its quota shows only in the logged rate,
-// which has no lower bound here.
+// which has no lower bound here. The clients wait for each response, so the quota
+// is small enough that they exceed it on a slow machine too.
 func TestQuotaHoldsAcrossRouters(t *testing.T) {
-	const rate, output, seconds = 3000, 40, 8
+	const rate, output, seconds = 600, 40, 8
 	fleet := startFleet(t, &fleettester.Fleet{Routers: 3, Engines: 4, AdjustDocument: func(d *validator.Document) {
 		d.Workspaces[0].TokensPerSecond = rate
 	}})
