replicator: two routers of a large fleet watch the store; starts in an outage

A watch delivers the same changes to each caller. Change: two primaries watch the store, the other observers follow a primary, the rest an observer. Responses carry how many routers the content has passed through, so that routers with different member lists do not follow each other.

Change: the whole content is served at any age, with that age; the starting router takes the most recent of two, and none that is behind what it has seen. The age may now exceed the uptime of the VM and is never unknown while a state is visible.

Tests: TestTwoRoutersOfALargeFleetWatchTheStore, TestContentPassesThroughFewRouters, TestStartDuringOutageOfTheStore, TestStartTakesTheMostRecentContent, TestAgeOfContentOlderThanTheVM.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,7 +165,7 @@
 				startupGate.Open()
 			}
 		},
-		OnBatch: func(b bergamotdale.Batch) { g.replica.Apply(b, g.source.Direct()) },
+		OnBatch: func(b bergamotdale.Batch) { g.replica.Apply(b, g.source.Hops()) },
 	}
 	g.replica = replicator.NewReplica(g.directory.Age)
 	g.source.OnStoreLost = g.replica.MarkStoreLost
--- a/replicator/observers.go
+++ b/replicator/observers.go
@@ -15,14 +15,17 @@
 	routersPerObserver = 16
 	// minObservers leaves followers other observers to turn to when one fails.
 	minObservers = 3
+	// primaryCount is the number of observers that watch the store themselves. The
+	// second one leaves the others a source when the first fails.
+	primaryCount = 2
 	// observerKey is the hash key by which routers are ranked to choose the
 	// observers.
 	observerKey = "store-observers"
 )
 
-// Observers returns the sorted IDs of the routers that watch the store, or nil
-// if every router does. Routers with the same member list compute the same
-// observers.
+// Observers returns the sorted IDs of the routers that the others follow, or nil
+// if every router watches the store. Routers with the same member list compute
+// the same observers.
 //
 // Each failure domain has its own observers: the changes that observers forward
 // are most of the traffic between the routers of a large fleet, and traffic
@@ -54,6 +57,14 @@
 	return observers
 }
 
+// Primaries returns the IDs of the observers that watch the store; the other
+// observers follow them. The store counts each watch as a call, and a watch
+// delivers the same changes to each caller.
+func Primaries(observers []string) []string {
+	order := hasher.Order(observerKey, observers)
+	return order[:min(len(order), primaryCount)]
+}
+
 // orderObservers returns the observers in the order in which a follower asks
 // them: those of its own failure domain first, and within each group ranked by a
 // hash of the follower's ID, which spreads the followers over the observers.
--- a/replicator/replica.go
+++ b/replicator/replica.go
@@ -3,14 +3,18 @@
 // Without it, each change would cost the store one watch response per router.
 //
 // In a small fleet every router watches the store directly. In a larger one all
-// routers compute the same observers from the member list. The other routers,
-// the followers, long-poll an observer and fall back to the store if none
-// responds. Each response carries the age of its content, from which a follower
-// knows how recent its API keys are.
+// routers compute the same observers from the member list. Two of these, the
+// primaries, watch the store; the other observers long-poll a primary, and the
+// remaining routers, the followers, an observer of their failure domain. Each
+// falls back to the store if none responds. Each response carries the age of its
+// content, from which a router knows how recent its API keys are, and the number
+// of routers that it has passed through, which keeps routers with different
+// member lists from following each other.
 package replicator
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -25,9 +29,11 @@
 	// that missed more reads the whole content again.
 	historyLength = 1024
 	// maxServedAge is the age of the content above which a replica does not
-	// serve followers: a watch may be 1 s behind, and the watch of an observer
+	// serve followers: a watch may be 1 s behind, and the watch of a primary
 	// takes up to 0.5 s.
 	maxServedAge = 2 * time.Second
+	// contentLost is the number of hops of a replica whose source has failed.
+	contentLost = math.MaxInt
 	// maxWait is the upper limit of the duration of a long poll.
 	maxWait = 2 * time.Second
 	// maxInlineValue is the size in bytes above which an observer sends its
@@ -49,12 +55,16 @@
 	Everything bool `json:"everything,omitempty"`
 	// Key requests the value of one key.
 	Key string `json:"key,omitempty"`
+	// MaxHops is the largest number of routers that the content may have passed
+	// through between the store and the responding router. It does not apply to
+	// Everything.
+	MaxHops int `json:"max-hops,omitempty"`
 }
 
 // Response is the response to a Request.
 type Response struct {
-	// Usable is false if the responding router does not watch the store itself or
-	// its content is too old.
+	// Usable is false if the responding router has no content or, unless the whole
+	// content was requested, its content is too old or has more than MaxHops hops.
 	Usable bool `json:"usable"`
 	// Compacted is true if the history does not reach back to Request.After.
 	Compacted bool                  `json:"compacted,omitempty"`
@@ -67,6 +77,8 @@
 	// AgeMS is the time in milliseconds since the revision was known to be
 	// current.
 	AgeMS int64 `json:"age-ms"`
+	// Hops is the number of routers between the store and the responding router.
+	Hops int `json:"hops,omitempty"`
 }
 
 // Replica is this router's copy of the content of the store, with the recent
@@ -84,18 +96,19 @@
 	historyStart int64
 	// changed is closed and replaced when a batch is applied or the store is lost.
 	changed chan struct{}
-	// fromStore is true if the latest batch came from the store itself.
-	fromStore bool
+	// hops is the number of routers between the store and this one that the latest
+	// batch passed through, or contentLost.
+	hops int
 }
 
 // NewReplica returns an empty replica; see Replica.Age for age.
 func NewReplica(age func() (time.Duration, bool)) *Replica {
-	return &Replica{Age: age, entries: map[string]bergamotdale.Entry{}, changed: make(chan struct{})}
+	return &Replica{Age: age, entries: map[string]bergamotdale.Entry{}, changed: make(chan struct{}), hops: contentLost}
 }
 
-// Apply applies a batch of the store's content or changes. fromStore is true if
-// the batch came from the store itself and not from another router.
-func (r *Replica) Apply(batch bergamotdale.Batch, fromStore bool) {
+// Apply applies a batch of the store's content or changes. hops is the number of
+// routers between the store and this one that it has passed through.
+func (r *Replica) Apply(batch bergamotdale.Batch, hops int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if batch.Entries != nil {
@@ -117,29 +130,31 @@
 		r.historyStart = r.history[excess-1].Version
 		r.history = slices.Clone(r.history[excess:])
 	}
-	r.revision, r.fromStore = batch.Revision, fromStore
+	r.revision, r.hops = batch.Revision, hops
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// MarkStoreLost records that the store no longer responds to this router. Waiting
-// and later requests of followers are rejected at once, so that the followers
-// turn to other routers.
+// MarkStoreLost records that neither the store nor a router that this one follows
+// responds. Waiting and later requests of followers are rejected at once, so that
+// the followers turn to other routers.
 func (r *Replica) MarkStoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fromStore = false
+	r.hops = contentLost
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
 // Serve handles the request of a follower. If there is no change after the
-// revision of the request, it waits for the next batch.
+// revision of the request, it waits for the next batch. A request for everything
+// is served whatever the age of the content: a router that starts during an
+// outage of the store has nothing better, and the response carries the age.
 func (r *Replica) Serve(ctx context.Context, request Request) (Response, error) {
 	r.mu.Lock()
-	revision, changed, fromStore := r.revision, r.changed, r.fromStore
+	revision, changed, hops := r.revision, r.changed, r.hops
 	r.mu.Unlock()
-	if !fromStore {
+	if hops > request.MaxHops && !request.Everything {
 		return Response{}, nil
 	}
 	if !request.Everything && request.Key == "" && revision <= request.After {
@@ -148,7 +163,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			// The store has not responded to several watches of this router.
+			// Neither the store nor a router that this one follows has responded.
 			return Response{}, nil
 		case <-ctx.Done():
 		}
@@ -161,10 +176,11 @@
 	age, known := r.Age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !known || !r.fromStore || age > maxServedAge || r.revision == 0 {
+	recent := r.hops <= request.MaxHops && age <= maxServedAge
+	if !known || r.revision == 0 || !recent && !request.Everything {
 		return Response{}
 	}
-	response := Response{Usable: true, Revision: r.revision, AgeMS: age.Milliseconds() + 1}
+	response := Response{Usable: true, Revision: r.revision, AgeMS: age.Milliseconds() + 1, Hops: min(r.hops, maxHops)}
 	switch {
 	case request.Everything:
 		for _, e := range r.entries {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -25,10 +25,10 @@
 
 func newReplica(age time.Duration) *replicator.Replica {
 	r := replicator.NewReplica(fixedAge(age))
-	r.Apply(bergamotdale.Batch{Entries: []bergamotdale.Entry{entry("a", 1), entry("b", 2)}, Revision: 2}, true)
+	r.Apply(bergamotdale.Batch{Entries: []bergamotdale.Entry{entry("a", 1), entry("b", 2)}, Revision: 2}, 0)
 	r.Apply(bergamotdale.Batch{Changes: []bergamotdale.Change{
 		{Entry: entry("c", 3)}, {Entry: entry("a", 4), Deleted: true},
-	}, Revision: 4}, true)
+	}, Revision: 4}, 0)
 	return r
 }
 
@@ -60,11 +60,154 @@
 	got, _ = r.Serve(context.Background(), replicator.Request{After: 4, WaitMS: 60000})
 	assert.Assert(t, !got.Usable, "a follower must not wait for a router that has lost the store")
 	r = newReplica(time.Second)
-	r.Apply(bergamotdale.Batch{Revision: 4}, false)
+	r.Apply(bergamotdale.Batch{Revision: 4}, 1)
 	got, _ = r.Serve(context.Background(), replicator.Request{After: 3})
 	assert.Assert(t, !got.Usable)
 }
 
+// Guards against routers that start during an outage of the store and refuse all
+// requests until it ends, while the other routers go on with what they know. On
+// the day herds.toml (seed 891336376678) half of the routers were killed 1 s into an
+// outage of 4 s and served nothing for 3.3 s after their start.
+func TestStartDuringOutageOfTheStore(t *testing.T) {
+	r := newReplica(time.Hour)
+	r.MarkStoreLost()
+	got, err := r.Serve(context.Background(), replicator.Request{Everything: true})
+	assert.NilError(t, err)
+	assert.Assert(t, got.Usable)
+	assert.Equal(t, len(got.Entries), 2)
+	assert.Assert(t, got.AgeMS >= time.Hour.Milliseconds(), "the age tells that keys are no longer to be trusted")
+	got, _ = replicator.NewReplica(func() (time.Duration, bool) { return 0, false }).Serve(context.Background(), replicator.Request{Everything: true})
+	assert.Assert(t, !got.Usable, "a router that has read nothing yet")
+}
+
+// agedPeer returns the whole content with an age that depends on the router
+// called.
+type agedPeer struct {
+	bergamotdale.Peer
+	ages map[string]int64
+}
+
+func (p agedPeer) Call(_ context.Context, address, _ string, _, response any) error {
+	*response.(*replicator.Response) = replicator.Response{
+		Usable: true, Revision: 12, AgeMS: p.ages[address], Entries: []bergamotdale.Entry{entry("a", 12)},
+	}
+	return nil
+}
+
+// Guards against a router that starts with the content of one router although
+// another one that it asked has seen the store later.
+func TestStartTakesTheMostRecentContent(t *testing.T) {
+	members := []bergamotdale.Member{{ID: "self"}, {ID: "old", Address: "old"}, {ID: "recent", Address: "recent"}}
+	source := &replicator.Source{
+		Self: "self", Store: &fakeStore{err: bergamotdale.ErrUnavailable}, Logger: zap.NewNop(),
+		Peer:    agedPeer{ages: map[string]int64{"old": 9000, "recent": 3000}},
+		Members: func() []bergamotdale.Member { return members },
+	}
+	for range 10 {
+		batch, err := source.Range(context.Background(), "", 0)
+		assert.NilError(t, err)
+		assert.Equal(t, batch.Lag, 3*time.Second)
+	}
+	// A router that has seen a later revision does not return to an earlier one:
+	// an endpoint that has left since would get requests again.
+	_, _ = source.Changes(context.Background(), "", 13, 0)
+	_, err := source.Range(context.Background(), "", 0)
+	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable))
+}
+
+// fleetPeer passes calls to the replica at the address.
+type fleetPeer struct {
+	bergamotdale.Peer
+	replicas map[string]*replicator.Replica
+}
+
+func (p fleetPeer) Call(ctx context.Context, address, _ string, request, response any) error {
+	got, err := p.replicas[address].Serve(ctx, request.(replicator.Request))
+	*response.(*replicator.Response) = got
+	return err
+}
+
+// Guards against calls of the store that grow with the number of observers. On a
+// calm day of 195 routers in six failure domains (hanbit-wash-large, quiet-1) 17
+// observers made 3,842 calls in 58 s, although a watch delivers the same changes
+// to each of them.
+func TestTwoRoutersOfALargeFleetWatchTheStore(t *testing.T) {
+	ctx, s := context.Background(), &fakeStore{}
+	peer := fleetPeer{replicas: map[string]*replicator.Replica{}}
+	var members []bergamotdale.Member
+	for i := range 195 {
+		id := fmt.Sprintf("r%d", i)
+		members = append(members, bergamotdale.Member{ID: id, Address: id, FailureDomain: fmt.Sprintf("d%d", i%6)})
+		peer.replicas[id] = replicator.NewReplica(fixedAge(time.Second))
+		peer.replicas[id].Apply(bergamotdale.Batch{Entries: []bergamotdale.Entry{entry("a", 1)}, Revision: 10}, 0)
+	}
+	observers := replicator.Observers(members)
+	primaries := replicator.Primaries(observers)
+	// Each router reads one batch, those near the store first.
+	var order []string
+	order = append(order, primaries...)
+	order = append(order, observers...)
+	for _, m := range members {
+		order = append(order, m.ID)
+	}
+	read := map[string]bool{}
+	for _, id := range order {
+		if read[id] {
+			continue
+		}
+		read[id] = true
+		source := &replicator.Source{Self: id, Store: s, Peer: peer, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
+		batch, err := source.Changes(ctx, "", 10, time.Second)
+		assert.NilError(t, err)
+		peer.replicas[id].Apply(batch, source.Hops())
+		switch hops := source.Hops(); {
+		case slices.Contains(primaries, id):
+			assert.Equal(t, hops, 0, id)
+		case slices.Contains(observers, id):
+			assert.Equal(t, hops, 1, id)
+		default:
+			// A primary is also an observer of its failure domain.
+			assert.Assert(t, hops == 1 || hops == 2, "%s: %d hops", id, hops)
+		}
+	}
+	assert.Equal(t, s.calls, len(primaries))
+	assert.Equal(t, len(primaries), 2)
+}
+
+// Guards against two routers that follow each other, as when their member lists
+// differ: neither would notice that it no longer follows the store.
+func TestContentPassesThroughFewRouters(t *testing.T) {
+	ctx := context.Background()
+	r := newReplica(time.Second)
+	for hops := range 4 {
+		r.Apply(bergamotdale.Batch{Revision: 4}, hops)
+		for maxHops := range 3 {
+			got, err := r.Serve(ctx, replicator.Request{After: 3, MaxHops: maxHops})
+			assert.NilError(t, err)
+			assert.Equal(t, got.Usable, hops <= maxHops, "%d hops of at most %d", hops, maxHops)
+		}
+	}
+}
+
+// Guards against an observer that loses its primaries and leaves its followers
+// without content.
+func TestObserverWithoutPrimariesWatchesTheStore(t *testing.T) {
+	var members []bergamotdale.Member
+	for i := range 60 {
+		members = append(members, bergamotdale.Member{ID: fmt.Sprintf("r%d", i)})
+	}
+	observers := replicator.Observers(members)
+	for _, id := range observers {
+		s, p := &fakeStore{}, &fakePeer{err: errors.New("down")}
+		source := &replicator.Source{Self: id, Store: s, Peer: p, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
+		_, err := source.Changes(context.Background(), "", 9, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, s.calls, 1)
+		assert.Equal(t, source.Hops(), 0)
+	}
+}
+
 // Guards against a long poll that returns a change or a new confirmation only
 // when its wait is over.
 func TestServeWaitsForTheNextBatch(t *testing.T) {
@@ -76,7 +219,7 @@
 	}()
 	var got replicator.Response
 	for served := false; !served; {
-		r.Apply(bergamotdale.Batch{Changes: []bergamotdale.Change{{Entry: entry("d", 5)}}, Revision: 5}, true)
+		r.Apply(bergamotdale.Batch{Changes: []bergamotdale.Change{{Entry: entry("d", 5)}}, Revision: 5}, 0)
 		select {
 		case got = <-answered:
 			served = true
@@ -192,6 +335,9 @@
 	return &replicator.Source{Self: self, Store: s, Peer: p, Logger: zap.NewNop(), Members: func() []bergamotdale.Member { return members }}
 }
 
+// isDirect reports whether the last batch came from the store itself.
+func isDirect(s *replicator.Source) bool { return s.Hops() == 0 }
+
 // Guards against a follower that calls the store although an observer responds,
 // and against one that receives no changes when no observer does.
 func TestSourceFallsBackToStore(t *testing.T) {
@@ -202,13 +348,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, b.Revision, int64(12))
 	assert.Equal(t, b.Lag, 1200*time.Millisecond)
-	assert.Assert(t, !source.Direct() && s.calls == 0)
+	assert.Assert(t, !isDirect(source) && s.calls == 0)
 
 	p.err = errors.New("down")
 	b, err = source.Changes(ctx, "", 11, time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, b.Revision, int64(11))
-	assert.Assert(t, source.Direct() && s.calls == 1)
+	assert.Assert(t, isDirect(source) && s.calls == 1)
 
 	p.err, p.response.Revision = nil, 5
 	b, err = source.Changes(ctx, "", 11, time.Second)
@@ -247,7 +393,7 @@
 		large.Version = version
 		batch.Changes = append(batch.Changes, bergamotdale.Change{Entry: large})
 	}
-	r.Apply(batch, true)
+	r.Apply(batch, 0)
 	got, err := r.Serve(context.Background(), replicator.Request{After: 4})
 	assert.NilError(t, err)
 	assert.Equal(t, len(got.Changes), 0)
@@ -285,7 +431,7 @@
 	_, err = source.Changes(context.Background(), "", 12, time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, s.calls, calls, "a store that just failed must not be called again at once")
-	assert.Assert(t, !source.Direct(), "content from other routers must not be served to followers")
+	assert.Assert(t, !isDirect(source), "content from other routers must not be served to followers")
 	p.response.Usable = false
 	_, err = source.Changes(context.Background(), "", 11, time.Second)
 	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable))
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -13,15 +13,25 @@
 )
 
 const (
-	// observerWatchWait is the duration of an observer's watch. It is short, so
-	// that followers soon notice when their observer cannot reach the store.
-	observerWatchWait = 300 * time.Millisecond
+	// primaryWatchWait is the duration of a primary's watch. It is short, so that
+	// the other routers soon notice when the primary cannot reach the store.
+	primaryWatchWait = 300 * time.Millisecond
+	// observerPollWait is the time that an observer waits for the next batch of
+	// its primary: twice the usual time between two batches.
+	observerPollWait = 700 * time.Millisecond
 	// followerPollWait is the time that a follower waits for the next batch of
-	// its observer: twice the usual time between two batches.
-	followerPollWait = 900 * time.Millisecond
+	// its observer. It covers an observer that turns from a primary without
+	// response to the next one.
+	followerPollWait = 1400 * time.Millisecond
 	// pollGrace is added to the wait of a long poll for its timeout, after which
-	// the observer counts as failed.
-	pollGrace = 400 * time.Millisecond
+	// the responding router counts as failed.
+	pollGrace = 300 * time.Millisecond
+	// Content has 0 hops at a primary, 1 at an observer and 2 at a follower.
+	// maxHops is the limit for a router that turns to any other one because the
+	// store does not respond to it.
+	primaryHops  = 0
+	observerHops = 1
+	maxHops      = 2
 	// fullReadTimeout is the timeout for reading the whole content from another
 	// router: 1 MB takes 0.8 s and more on a 10 Mbit/s link.
 	fullReadTimeout = 3 * time.Second
@@ -40,7 +50,8 @@
 )
 
 // Source reads the store for a router, directly or through an observer. It
-// implements bergamotdale.ChangeStore. Exported fields are set before use.
+// implements bergamotdale.ChangeStore. Exported fields are set before use, and the
+// methods are called by one goroutine.
 type Source struct {
 	// Self is the ID of this router.
 	Self   string
@@ -52,9 +63,12 @@
 	// OnStoreLost, if not nil, is called when a call to the store fails.
 	OnStoreLost func()
 
-	// fromStore is true if the last batch came from the store itself. Only the
-	// goroutine that calls the methods uses it.
-	fromStore bool
+	// hops is the number of routers that the last batch passed through, or
+	// contentLost.
+	hops int
+	// revision is the highest revision read or asked for. The content of a router
+	// that is behind it is not used.
+	revision int64
 	// currentObserver is the ID of the observer that responded last, or empty.
 	currentObserver string
 	// avoidedUntil holds, by ID, the time before which a failed observer is not
@@ -66,31 +80,48 @@
 
 var _ bergamotdale.ChangeStore = (*Source)(nil)
 
-// Direct reports whether the last batch came from the store itself.
-func (s *Source) Direct() bool { return s.fromStore }
+// Hops returns the number of routers between the store and this one that the last
+// batch passed through. It is zero if the batch came from the store itself.
+func (s *Source) Hops() int { return s.hops }
 
 // Range implements bergamotdale.ChangeStore. It asks the store first, because a
-// router that starts does not know other routers yet.
+// router that starts does not know other routers yet. If the store fails, it
+// returns the most recent content of the routers that it asks.
 func (s *Source) Range(ctx context.Context, prefix string, notBefore int64) (bergamotdale.Batch, error) {
 	batch, err := s.Store.Range(ctx, prefix, notBefore)
 	if err == nil {
-		s.fromStore = true
+		s.hops, s.revision = 0, max(s.revision, batch.Revision)
 		return batch, nil
 	}
+	var latest bergamotdale.Batch
 	for _, m := range s.randomPeers() {
-		if relayed, ok := s.fetchBatch(ctx, m, Request{Everything: true}, fullReadTimeout); ok {
-			return relayed, nil
+		relayed, ok := s.fetchBatch(ctx, m, Request{Everything: true}, fullReadTimeout)
+		if !ok || relayed.Revision < s.revision {
+			continue
+		}
+		if latest.Entries == nil || relayed.Lag < latest.Lag {
+			latest = relayed
+		}
+		if latest.Lag <= maxServedAge {
+			break
 		}
 	}
-	return bergamotdale.Batch{}, errors.Trace(err)
+	if latest.Entries == nil {
+		return bergamotdale.Batch{}, errors.Trace(err)
+	}
+	// Content of any age is not passed on.
+	s.hops, s.revision = contentLost, latest.Revision
+	return latest, nil
 }
 
-// Changes implements bergamotdale.ChangeStore. A follower asks its observers
-// first and the store if none of them responds.
+// Changes implements bergamotdale.ChangeStore. A follower asks the observers
+// first, an observer the primaries, and each the store if none of them responds.
 func (s *Source) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (bergamotdale.Batch, error) {
-	observers, isObserver := s.observersToAsk()
-	for _, m := range observers {
-		batch, ok := s.fetchBatch(ctx, m, Request{After: after, WaitMS: followerPollWait.Milliseconds()}, followerPollWait+pollGrace)
+	s.revision = max(s.revision, after)
+	upstream := s.upstream()
+	for _, m := range upstream.routers {
+		request := Request{After: after, WaitMS: upstream.wait.Milliseconds(), MaxHops: upstream.maxHops}
+		batch, ok := s.fetchBatch(ctx, m, request, upstream.wait+pollGrace)
 		if !ok {
 			s.avoidObserver(m.ID)
 			continue
@@ -104,8 +135,8 @@
 		batch.Revision = max(after, batch.Revision)
 		return batch, nil
 	}
-	if isObserver {
-		wait = min(wait, observerWatchWait)
+	if upstream.isObserver {
+		wait = min(wait, primaryWatchWait)
 	}
 	if s.currentObserver != "" {
 		s.Logger.Info("watching the store directly")
@@ -123,7 +154,7 @@
 		var batch bergamotdale.Batch
 		batch, err = s.Store.Changes(ctx, prefix, after, wait)
 		if err == nil || errors.Is(err, bergamotdale.ErrCompacted) || ctx.Err() != nil {
-			s.fromStore = true
+			s.hops = 0
 			return batch, errors.Trace(err)
 		}
 		s.storeFailedAt = time.Now()
@@ -134,7 +165,8 @@
 	}
 	for _, m := range s.randomPeers() {
 		waited := time.Since(started)
-		relayed, ok := s.fetchBatch(ctx, m, Request{After: after, WaitMS: followerPollWait.Milliseconds()}, followerPollWait+pollGrace)
+		request := Request{After: after, WaitMS: followerPollWait.Milliseconds(), MaxHops: maxHops}
+		relayed, ok := s.fetchBatch(ctx, m, request, followerPollWait+pollGrace)
 		if ok {
 			relayed.Revision = max(after, relayed.Revision)
 			// The lag counts from the start of this method.
@@ -157,9 +189,20 @@
 	s.Logger.Info("observer of the store excluded after a failed request", zap.String("peer", id), zap.Duration("for", avoidPeriod))
 }
 
-// observersToAsk returns the observers to ask, in order, and whether this router
-// is an observer itself.
-func (s *Source) observersToAsk() ([]bergamotdale.Member, bool) {
+// upstream describes which routers this one asks for changes before the store.
+type upstream struct {
+	// routers are asked in this order.
+	routers []bergamotdale.Member
+	// wait is the duration of a long poll, and maxHops the limit of its content.
+	wait    time.Duration
+	maxHops int
+	// isObserver is true if other routers follow this one.
+	isObserver bool
+}
+
+// upstream returns the routers that this one asks now: a follower the observers,
+// an observer the primaries, and a primary or a router of a small fleet none.
+func (s *Source) upstream() upstream {
 	self := bergamotdale.Member{ID: s.Self}
 	members, domains := map[string]bergamotdale.Member{}, map[string]string{}
 	routers := s.Members()
@@ -173,17 +216,20 @@
 		routers = append(slices.Clone(routers), self)
 	}
 	observers := Observers(routers)
+	u := upstream{wait: followerPollWait, maxHops: observerHops}
 	if slices.Contains(observers, s.Self) {
-		return nil, true
+		u = upstream{wait: observerPollWait, maxHops: primaryHops, isObserver: true}
+		if observers = Primaries(observers); slices.Contains(observers, s.Self) {
+			return u
+		}
 	}
 	now := time.Now()
-	var chosen []bergamotdale.Member
 	for _, id := range orderObservers(self, observers, domains) {
-		if len(chosen) < maxPeersTried && !now.Before(s.avoidedUntil[id]) {
-			chosen = append(chosen, members[id])
+		if len(u.routers) < maxPeersTried && !now.Before(s.avoidedUntil[id]) {
+			u.routers = append(u.routers, members[id])
 		}
 	}
-	return chosen, false
+	return u
 }
 
 // randomPeers returns up to maxPeersTried other routers in a random order, to ask
@@ -220,7 +266,7 @@
 		}
 		response.Changes = append(response.Changes, bergamotdale.Change{Entry: entry})
 	}
-	s.fromStore = false
+	s.hops = response.Hops + 1
 	return bergamotdale.Batch{
 		Entries: response.Entries, Changes: response.Changes, Revision: response.Revision, Lag: time.Duration(response.AgeMS) * time.Millisecond,
 	}, true
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -117,9 +117,10 @@
 	OnBatch func(bergamotdale.Batch)
 
 	current atomic.Pointer[State]
-	// confirmedAt is the latest value of Elapsed, in nanoseconds, at which the
-	// state is known to have been current; zero before the first read.
-	confirmedAt atomic.Int64
+	// confirmedAt is the latest value of Elapsed at which the state is known to
+	// have been current; nil before the first read. It is negative if that was
+	// before the VM booted.
+	confirmedAt atomic.Pointer[time.Duration]
 
 	// The fields below are accessed only by the goroutine of Run.
 	table     *matcher.Table
@@ -143,10 +144,10 @@
 // if nothing has been read yet.
 func (s *Subscriber) Age() (time.Duration, bool) {
 	at := s.confirmedAt.Load()
-	if at == 0 {
+	if at == nil {
 		return 0, false
 	}
-	return s.Elapsed() - time.Duration(at), true
+	return s.Elapsed() - *at, true
 }
 
 // Run follows the store until the context is done. It retries failed calls and
@@ -203,10 +204,15 @@
 		}
 	}
 	s.revision = batch.Revision
+	confirmedAt := started - batch.Lag
+	if s.confirmedAt.Load() == nil {
+		// The first state is never visible without its age.
+		s.confirmCurrent(confirmedAt)
+	}
 	if stateChanged {
 		s.publish()
 	}
-	s.confirmCurrent(started - batch.Lag)
+	s.confirmCurrent(confirmedAt)
 	if s.OnBatch != nil {
 		s.OnBatch(batch)
 	}
@@ -216,8 +222,8 @@
 // confirmCurrent records that the state was current at the given time on Elapsed.
 // Earlier times than the one on record are ignored.
 func (s *Subscriber) confirmCurrent(at time.Duration) {
-	if int64(at) > s.confirmedAt.Load() {
-		s.confirmedAt.Store(max(1, int64(at)))
+	if previous := s.confirmedAt.Load(); previous == nil || at > *previous {
+		s.confirmedAt.Store(&at)
 	}
 }
 
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -29,6 +29,29 @@
 	return e, errors.Trace(err)
 }
 
+// Guards against a state whose age is unknown or too small, because another router
+// supplied content that is older than the uptime of this VM: API keys would be
+// trusted that may have been revoked.
+func TestAgeOfContentOlderThanTheVM(t *testing.T) {
+	var s *subscriber.Subscriber
+	published := make(chan time.Duration, 1)
+	store := &scriptedStore{answers: make(chan answer, 1), calls: make(chan int64, 2)}
+	s = &subscriber.Subscriber{
+		Store: store, Dialect: jsonDialect{}, Clock: bergamotdale.SystemClock{}, Logger: zap.NewNop(),
+		Elapsed: func() time.Duration { return 3 * time.Second },
+		OnChange: func(*subscriber.State) {
+			age, known := s.Age()
+			assert.Check(t, known)
+			published <- age
+		},
+	}
+	store.answers <- answer{batch: bergamotdale.Batch{Revision: 5, Lag: 10 * time.Second}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.Run(ctx) }()
+	assert.Equal(t, <-published, 10*time.Second)
+}
+
 // answer is the result of one call to scriptedStore.
 type answer struct {
 	batch bergamotdale.Batch
