dialer, relayer: limits on bytes without end

Cause: http.ReadResponse reads a head of any size; a loop skipped informational responses without a count. One endpoint that sends a head without end took 2.3 GB of the router's memory in 3 s (a VM has 184 MB). A refusal's body was read as far as 256 KB however slowly it came, so that another endpoint was never tried; a stream that sent a byte now and then but no event lasted until the deadline; a body without a length was passed on without end.

The time between events stays unlimited: a slow endpoint sends its events whole. Settings 'responses': max-head, max-event, max-body. Comments no longer count as events. Clients of the store and of peers read heads of 64 KiB.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -39,6 +39,8 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdle bounds the idle connections to one endpoint.
 	maxIdle = 16
+	// DefaultMaxHead is the default of Dialer.MaxHead in bytes.
+	DefaultMaxHead = 16 << 10
 	// bufferSize is the size of a read buffer in bytes. It is large enough for
 	// the headers of a response and for its events.
 	bufferSize = 2 << 10
@@ -54,6 +56,9 @@
 	// reader buffers the response. It comes from readerPool and is nil while no
 	// exchange is in progress.
 	reader *bufio.Reader
+	// limiter bounds what reader reads while the headers of a response arrive. It
+	// is nil while no exchange is in progress.
+	limiter *readLimiter
 	// address is the address of the endpoint, the key in Dialer.idle.
 	address string
 	// reused is set once the connection has carried a complete exchange.
@@ -64,8 +69,13 @@
 }
 
 // Dialer opens connections to endpoints and keeps idle ones for reuse. The zero
-// value is ready. Its methods may be called concurrently.
+// value is ready. Its methods may be called concurrently. Exported fields are set
+// before the first call.
 type Dialer struct {
+	// MaxHead is the largest size in bytes of the headers of a response, with the
+	// informational responses before it. Zero selects DefaultMaxHead.
+	MaxHead int
+
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one at the end.
 	idle map[string][]*Conn
@@ -76,6 +86,14 @@
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 
+// maxHead returns the limit of the headers of a response.
+func (d *Dialer) maxHead() int {
+	if d.MaxHead > 0 {
+		return d.MaxHead
+	}
+	return DefaultMaxHead
+}
+
 // Get returns a connection to the address: an idle one if there is one, else a
 // new one. If it returns an error, nothing was sent to the endpoint.
 func (d *Dialer) Get(ctx context.Context, address string) (*Conn, error) {
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -26,6 +26,10 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response, in bytes.
 	maxStrayBytes = 1 << 20
+
+	// ErrHeadTooLarge is the error of an exchange whose response has more header
+	// bytes than Dialer.MaxHead.
+	ErrHeadTooLarge = errors.ConstError("the headers of the response exceed the limit")
 )
 
 // Request is an HTTP request to an endpoint.
@@ -83,8 +87,9 @@
 // response. The exchange owns the connection from then on, and closes it when the
 // context ends. Every error is an *ExchangeError.
 func (d *Dialer) Send(ctx context.Context, c *Conn, r Request) (*Exchange, error) {
+	c.limiter = &readLimiter{Reader: c.Conn}
 	c.reader = readerPool.Get().(*bufio.Reader)
-	c.reader.Reset(c.Conn)
+	c.reader.Reset(c.limiter)
 	x := &Exchange{dialer: d, conn: c, writeResult: make(chan error, 1)}
 	x.stopAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	message, err := r.encode()
@@ -145,12 +150,37 @@
 	return buffer.Bytes(), nil
 }
 
+// readLimiter is a reader that fails with ErrHeadTooLarge after a number of bytes.
+// http.ReadResponse has no limit of its own.
+type readLimiter struct {
+	io.Reader
+	// limited is true while remaining applies.
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // readResponse returns the response to the request. It skips up to
 // maxStrayResponses responses to earlier requests.
 func (x *Exchange) readResponse(r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	limiter := x.conn.limiter
 	for range maxStrayResponses + 1 {
+		limiter.limited, limiter.remaining = true, x.dialer.maxHead()
 		response, err := x.readFinal(req)
+		limiter.limited = false
 		if err != nil {
 			return nil, err
 		}
@@ -169,7 +199,8 @@
 }
 
 // readFinal returns the next response that is final: it skips informational (1xx)
-// ones except 101 Switching Protocols, the last HTTP response on a connection.
+// ones except 101 Switching Protocols, the last HTTP response on a connection. The
+// limit of the headers applies to all of them together.
 func (x *Exchange) readFinal(req *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(x.conn.reader, req)
@@ -212,7 +243,7 @@
 	reusable := x.bodyComplete && stopped && x.Response != nil && !x.Response.Close && x.HasBodyLength() && x.isRequestWritten() &&
 		x.conn.reader.Buffered() == 0
 	reader := x.conn.reader
-	x.conn.reader = nil
+	x.conn.reader, x.conn.limiter = nil, nil
 	if reusable {
 		x.dialer.putIdle(x.conn, keepAliveTimeout(x.Response.Header))
 	} else {
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -9,12 +9,16 @@
 	"github.com/juju/errors"
 )
 
-// MaxEventBytes is the maximum size of an incomplete event that is buffered.
-const MaxEventBytes = 1 << 20
+// DefaultMaxEvent is the default of Framer.MaxEvent in bytes.
+const DefaultMaxEvent = 64 << 10
 
 // Framer buffers the bytes of a stream until they form complete events. The zero
-// value is ready to use.
+// value is ready to use. Exported fields are set before the first call.
 type Framer struct {
+	// MaxEvent is the largest size in bytes of an incomplete event. Zero selects
+	// DefaultMaxEvent.
+	MaxEvent int
+
 	// pending holds the bytes of the incomplete event.
 	pending []byte
 	lastID  string
@@ -24,7 +28,7 @@
 // LastID returns the id of the last complete event that had one.
 func (f *Framer) LastID() string { return f.lastID }
 
-// EventCount returns the number of complete events.
+// EventCount returns the number of complete events. Comments are none.
 func (f *Framer) EventCount() int { return f.events }
 
 // Pending returns the number of buffered bytes of an incomplete event.
@@ -50,14 +54,22 @@
 		f.recordEvent(f.pending[complete:end])
 		complete = end
 	}
-	if len(f.pending)-complete > MaxEventBytes {
-		return nil, errors.Errorf("the incomplete server-sent event is larger than %d bytes", MaxEventBytes)
+	if limit := f.maxEvent(); len(f.pending)-complete > limit {
+		return nil, errors.Errorf("the incomplete server-sent event is larger than %d bytes", limit)
 	}
 	events := bytes.Clone(f.pending[:complete])
 	f.pending = append(f.pending[:0], f.pending[complete:]...)
 	return events, nil
 }
 
+// maxEvent returns the limit of an incomplete event.
+func (f *Framer) maxEvent() int {
+	if f.MaxEvent > 0 {
+		return f.MaxEvent
+	}
+	return DefaultMaxEvent
+}
+
 // eventEnd returns the index after the first blank line, which ends an event, or
 // -1.
 func eventEnd(p []byte) int {
@@ -71,12 +83,19 @@
 	return end
 }
 
-// recordEvent counts a complete event and records its id, if it has one.
+// recordEvent counts a complete event and records its id, if it has one. Lines
+// that start with a colon are comments, which servers send to keep connections
+// open.
 func (f *Framer) recordEvent(event []byte) {
-	f.events++
+	hasField := false
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		hasField = hasField || len(line) > 0 && line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			f.lastID = string(bytes.TrimSpace(id))
 		}
 	}
+	if hasField {
+		f.events++
+	}
 }
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -45,6 +45,6 @@
 // Guards against memory that grows without limit when an event never ends.
 func TestEventTooLarge(t *testing.T) {
 	var f framer.Framer
-	_, err := f.Push(make([]byte, framer.MaxEventBytes+1))
+	_, err := f.Push(make([]byte, framer.DefaultMaxEvent+1))
 	assert.ErrorContains(t, err, "larger")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 		return errors.Trace(err)
 	}
 	g.meter = metrics
-	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{}
+	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead)}
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
@@ -205,6 +205,8 @@
 		LoadMultiple: s.Limits.LoadMultiple,
 		RetryRatio:   s.Limits.RetryRatio,
 		RetrySlack:   s.Limits.RetrySlack,
+		MaxEvent:     int(s.Responses.MaxEvent),
+		MaxResponse:  int64(s.Responses.MaxBody),
 	})
 	if s.Listen != g.Settings.Listen || s.ID != g.Settings.ID || s.Store != g.Settings.Store {
 		g.Logger.Warn("changed id, listen addresses or store take effect only after a restart", zap.String("store", s.Store))
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -8,6 +8,9 @@
 
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/decoder"
+	"github.com/bergamotdale/bergamotdale/dialer"
+	"github.com/bergamotdale/bergamotdale/framer"
+	"github.com/bergamotdale/bergamotdale/relayer"
 )
 
 // GatewaySettings are the process settings of a router that forwards requests
@@ -31,6 +34,27 @@
 	// Placement is the balancer.Policy that selects the endpoint of a request.
 	Placement string        `yaml:"placement" oneof:"shared-prefix consistent-hash least-load random"`
 	Limits    GatewayLimits `yaml:"promises"`
+	// Responses limits what an endpoint may send.
+	Responses ResponseLimits `yaml:"responses"`
+}
+
+// ResponseLimits bounds the responses of endpoints. An endpoint in trouble may send
+// bytes without end.
+type ResponseLimits struct {
+	// MaxHead is the largest size of the headers of a response, with the
+	// informational responses before it. A change needs a restart.
+	MaxHead Size `yaml:"max-head" min:"1KiB" max:"1MiB"`
+	// MaxEvent is the largest size of an event of a stream.
+	MaxEvent Size `yaml:"max-event" min:"1KiB" max:"4MiB"`
+	// MaxBody is the largest size of the body of any other response.
+	MaxBody Size `yaml:"max-body" min:"64KiB" max:"16GiB"`
+}
+
+// SetDefaults implements decoder.Defaulter.
+func (l *ResponseLimits) SetDefaults() {
+	l.MaxHead = dialer.DefaultMaxHead
+	l.MaxEvent = framer.DefaultMaxEvent
+	l.MaxBody = relayer.DefaultMaxResponse
 }
 
 // GatewayListen holds the addresses that a gateway serves on.
@@ -62,6 +86,7 @@
 	s.StopDeadline = 10 * time.Second
 	s.Placement = string(balancer.SharedPrefix)
 	s.Limits.SetDefaults()
+	s.Responses.SetDefaults()
 }
 
 // SetDefaults implements decoder.Defaulter.
--- a/peerclient/peerclient.go
+++ b/peerclient/peerclient.go
@@ -30,6 +30,8 @@
 const BasePath = "/peer/v1/"
 
 const (
+	// maxResponseHeaderBytes limits the headers of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// DefaultDialTimeout limits the time to open a connection.
 	DefaultDialTimeout = time.Second
 	// DefaultSilenceTimeout is the time without any frame after which a stream is
@@ -85,6 +87,8 @@
 			MaxIdleConnsPerHost: c.MaxIdlePerPeer,
 			IdleConnTimeout:     c.IdleTimeout,
 			DisableCompression:  true,
+			// The default of 10 MB is more than a small VM can spare.
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		}
 	})
 	return c
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -23,7 +23,11 @@
 	// maxBufferedBody is the size, in bytes, below which a response other than a
 	// stream is read completely before its first byte goes to the client. If a
 	// response of this size is truncated, another endpoint can be tried instead.
-	maxBufferedBody = 256 << 10
+	maxBufferedBody = 64 << 10
+	// maxRefusalBody and refusalBodyTimeout limit what is read of an endpoint's
+	// refusal, whose body only has to be read to reuse the connection.
+	maxRefusalBody     = 16 << 10
+	refusalBodyTimeout = 100 * time.Millisecond
 	// readBufferSize is the size of the buffer for reading a stream, in bytes.
 	readBufferSize = 4 << 10
 )
@@ -165,9 +169,7 @@
 	info := j.relayer.Dialect.ResponseInfo(status, exchange.Response.Header)
 	switch {
 	case info.NotExecuted:
-		if _, err := io.Copy(io.Discard, io.LimitReader(exchange, maxBufferedBody)); err != nil {
-			j.relayer.Logger.Debug("failed to read the body of an endpoint's refusal", zap.String("endpoint", target.ID), zap.Error(err))
-		}
+		j.skipRefusalBody(target, exchange)
 		return &failure{sent: true, refusal: bergamotdale.Refuse(bergamotdale.CodeEndpointRefused,
 			"endpoint %s refused the request with status %d", target.ID, status).After(refusedRetryAfter)}
 	case j.started && status != http.StatusOK:
@@ -193,6 +195,19 @@
 	return j.relayPlain(ctx, target, exchange)
 }
 
+// skipRefusalBody reads the body of an endpoint's refusal, so that the connection
+// can be reused. A body that is long or does not end costs the connection and not
+// the time of the request.
+func (j *job) skipRefusalBody(target subscriber.Endpoint, exchange *dialer.Exchange) {
+	err := exchange.SetReadDeadline(time.Now().Add(refusalBodyTimeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(exchange, maxRefusalBody))
+	}
+	if err != nil {
+		j.relayer.Logger.Debug("failed to read the body of an endpoint's refusal", zap.String("endpoint", target.ID), zap.Error(err))
+	}
+}
+
 // impliesNotExecuted reports whether clients conclude from the status that the
 // request was not executed and never will be.
 func impliesNotExecuted(status int) bool {
@@ -226,7 +241,12 @@
 		return &failure{sent: true, final: true, refusal: bergamotdale.Refuse(bergamotdale.CodeInternal, "writing the response to the client failed").WithCause(err).WithOutcome(bergamotdale.OutcomeRun)}
 	}
 	if !complete {
-		if _, err := io.Copy(j.writer, exchange); err != nil {
+		limit := j.relayer.limits.Load().maxResponse() - int64(len(buffered))
+		n, err := io.Copy(j.writer, io.LimitReader(exchange, limit+1))
+		if err == nil && n > limit {
+			err = errors.Errorf("the body is larger than %d bytes", limit+int64(len(buffered)))
+		}
+		if err != nil {
 			fail := unknownOutcomeFailure(err, "the response from endpoint %s was cut off", target.ID)
 			fail.final = true
 			return fail
@@ -270,6 +290,7 @@
 			monitor.RecordData()
 		}
 		events, frameErr := j.framer.Push(buffer[:n])
+		monitor.RecordPending(j.framer.Pending() > 0)
 		if frameErr != nil {
 			return unknownOutcomeFailure(frameErr, "endpoint %s sent an invalid event stream", target.ID)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,6 +36,8 @@
 	// retrySlackShare is the part of Limits.RetrySlack that is divided evenly
 	// among the routers.
 	retrySlackShare = 0.7
+	// DefaultMaxResponse is the default of Limits.MaxResponse in bytes.
+	DefaultMaxResponse = 64 << 20
 )
 
 // Directory is the router's local copy of the configuration and of the registered
@@ -74,6 +76,18 @@
 	// any 10 s: RetryRatio times the number of its requests, plus RetrySlack.
 	RetryRatio float64
 	RetrySlack float64
+	// MaxEvent is the largest size in bytes of an incomplete event of a stream, and
+	// MaxResponse that of the body of any other response. Zero selects a default.
+	MaxEvent    int
+	MaxResponse int64
+}
+
+// maxResponse returns the limit of the body of a response.
+func (l *Limits) maxResponse() int64 {
+	if l.MaxResponse > 0 {
+		return l.MaxResponse
+	}
+	return DefaultMaxResponse
 }
 
 // Report describes a finished request for the metrics.
@@ -129,6 +143,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relayer: r, writer: w, request: req, arrival: r.Clock.Now(), tried: map[string]bool{}}
+	j.framer.MaxEvent = r.limits.Load().MaxEvent
 	r.StartupGate.Wait(req.Context())
 	if refusal := j.accept(); refusal != nil {
 		j.writeRefusal(refusal)
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -26,6 +26,8 @@
 const CallerHeader = "X-Caller"
 
 const (
+	// maxResponseHeaderBytes limits the headers of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// dialTimeout is short because the round trip to an endpoint takes
 	// milliseconds.
 	dialTimeout = 2 * time.Second
@@ -122,9 +124,11 @@
 				}
 				return &trackedConn{Conn: conn}, nil
 			},
-			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
+			DisableCompression: true,
+			// The default of 10 MB is more than a small VM can spare.
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			IdleConnTimeout:        idleTimeout,
+			MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		},
 	}
 }
