collector: loads of a large fleet added up by routers; placement spreads over endpoints

A router of 195 hears the reports of ten others in two seconds and extrapolated the loads from them, so that an engine with 5 requests seemed to have none or 20. Ruled out: old reports as such; with exact loads and one capacity for all the bound still breaks under the replayed load (39 of 975), since all routers fill the same engine between two reports.

Change: collector, a router of each failure domain (one for 48) that adds up the loads of its domain, exchanges the sums with the other collectors and returns those of the fleet, within 7.5 KB/s a router; reports between routers serve the detection of outliers and come less often then. balancer.Bound.Spread: from 17 routers on the capacity differs from request to request by up to a half, and ByLoad no longer sends all to the one least loaded engine.

Also: dialer.Elapsed, idle connections age while the VM is suspended; a router that starts waits up to 0.8 s for its member list before it watches the store; request heads of clients have at most 64 KiB.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -52,6 +52,11 @@
 	// Multiple is the highest load that an endpoint may have, relative to the
 	// mean load of the endpoints.
 	Multiple float64
+	// Spread is the part of the capacity, from 0 to 1, by which it differs from
+	// request to request. In a large fleet many routers place requests by the same
+	// loads before they hear of each other's requests; with one capacity for all,
+	// a popular prompt would fill its endpoint far beyond that and then the next.
+	Spread float64
 }
 
 // Capacity returns the load from which an endpoint receives no further requests
@@ -67,7 +72,7 @@
 // ByKey returns the index of the candidate for a prompt whose shared prefix has
 // the key, or -1 without candidates. If all candidates are suspended, at the load
 // bound or out of slots, it falls back to ByLoad.
-func ByKey(key string, candidates []Candidate, b Bound) int {
+func ByKey(requestID, key string, candidates []Candidate, b Bound) int {
 	total, available := 0, 0
 	for _, c := range candidates {
 		total += c.Load
@@ -76,6 +81,9 @@
 		}
 	}
 	capacity := b.Capacity(total, available)
+	if b.Spread > 0 {
+		capacity = max(1, int(math.Ceil(float64(capacity)*(1-b.Spread*uniform(hasher.Hash(requestID))))))
+	}
 	keyHash := hasher.Hash(key)
 	best, bestScore := -1, math.Inf(-1)
 	for i, c := range candidates {
@@ -89,38 +97,59 @@
 	if best >= 0 {
 		return best
 	}
-	return ByLoad(key, candidates)
+	return ByLoad(requestID, key, candidates, b)
 }
 
 // ByLoad returns the index of the candidate with the least load per slot, or -1
 // without candidates. Ties go to a candidate in the same failure domain, then to
-// the first one in rendezvous order for the key.
-func ByLoad(key string, candidates []Candidate) int {
-	keyHash := hasher.Hash(key)
-	best := -1
-	for i := range candidates {
-		if best < 0 || lessLoaded(keyHash, candidates[i], candidates[best]) {
-			best = i
+// the first one in rendezvous order for the key. With Bound.Spread, candidates
+// whose loads differ by less than that part of the mean count as equal now and
+// then, so that the routers of a large fleet do not all choose the same one.
+func ByLoad(requestID, key string, candidates []Candidate, b Bound) int {
+	keyHash, requestHash := hasher.Hash(key), hasher.Hash(requestID)
+	noise := 0.0
+	if b.Spread > 0 {
+		noise = b.Spread * meanLoad(candidates)
+	}
+	best, bestLoad := -1, 0.0
+	for i, c := range candidates {
+		load := relativeLoad(c, noise*uniform(hasher.Weight(requestHash, hasher.Hash(c.ID))))
+		if best < 0 || lessLoaded(keyHash, c, load, candidates[best], bestLoad) {
+			best, bestLoad = i, load
 		}
 	}
 	return best
 }
 
+// meanLoad returns the mean load of the candidates plus 1.
+func meanLoad(candidates []Candidate) float64 {
+	total := 0
+	for _, c := range candidates {
+		total += c.Load
+	}
+	return float64(total)/float64(max(1, len(candidates))) + 1
+}
+
 // rendezvousScore returns the weighted rendezvous hashing score of a candidate
 // for a key. The highest score wins, and the share of keys that a candidate wins
 // is proportional to its weight.
 func rendezvousScore(keyHash uint64, c Candidate) float64 {
-	// The upper 53 bits give a uniformly distributed u with 0 < u < 1.
-	u := (float64(hasher.Weight(keyHash, hasher.Hash(c.ID))>>11) + 0.5) / (1 << 53)
+	u := uniform(hasher.Weight(keyHash, hasher.Hash(c.ID)))
 	return max(minWeight, c.Weight) / -math.Log(u)
 }
 
-// lessLoaded reports whether ByLoad prefers a to b.
-func lessLoaded(keyHash uint64, a, b Candidate) bool {
+// uniform returns a number between 0 and 1, both excluded, that is uniformly
+// distributed over the hashes. It uses their upper 53 bits.
+func uniform(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+// lessLoaded reports whether ByLoad prefers a with loadA to b with loadB.
+func lessLoaded(keyHash uint64, a Candidate, loadA float64, b Candidate, loadB float64) bool {
 	if a.Suspended != b.Suspended {
 		return b.Suspended
 	}
-	if loadA, loadB := relativeLoad(a), relativeLoad(b); loadA != loadB {
+	if loadA != loadB {
 		return loadA < loadB
 	}
 	if a.SameFailureDomain != b.SameFailureDomain {
@@ -129,11 +158,11 @@
 	return rendezvousScore(keyHash, a) > rendezvousScore(keyHash, b)
 }
 
-// relativeLoad returns the load per slot. A weight below 1 reduces the number of
-// slots that count.
-func relativeLoad(c Candidate) float64 {
+// relativeLoad returns the load per slot, with a number of requests added to the
+// load. A weight below 1 reduces the number of slots that count.
+func relativeLoad(c Candidate, added float64) float64 {
 	weight := max(minWeight, c.Weight)
-	load := float64(c.Load)
+	load := float64(c.Load) + added
 	if weight < 1 {
 		// Without this, an idle endpoint with a reduced weight would tie with an
 		// idle healthy one.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -25,9 +25,9 @@
 	moved := 0
 	for k := range 500 {
 		key := fmt.Sprint("part-", k)
-		first := balancer.ByKey(key, endpoints(12), balancer.Bound{Multiple: 2})
-		assert.Equal(t, first, balancer.ByKey(key, endpoints(12), balancer.Bound{Multiple: 2}))
-		if balancer.ByKey(key, endpoints(13), balancer.Bound{Multiple: 2}) != first {
+		first := balancer.ByKey("", key, endpoints(12), balancer.Bound{Multiple: 2})
+		assert.Equal(t, first, balancer.ByKey("", key, endpoints(12), balancer.Bound{Multiple: 2}))
+		if balancer.ByKey("", key, endpoints(13), balancer.Bound{Multiple: 2}) != first {
 			moved++
 		}
 	}
@@ -48,7 +48,7 @@
 			if r%100 >= hot {
 				key = fmt.Sprint(r)
 			}
-			c[balancer.ByKey(key, c, balancer.Bound{Multiple: 2})].Load++
+			c[balancer.ByKey("", key, c, balancer.Bound{Multiple: 2})].Load++
 		}
 		for _, e := range c {
 			// The documented limit: twice the mean load plus three.
@@ -67,7 +67,7 @@
 	}
 	used := map[int]bool{}
 	for range 12 {
-		selected := balancer.ByKey("hot", c, balancer.Bound{Multiple: 2})
+		selected := balancer.ByKey("", "hot", c, balancer.Bound{Multiple: 2})
 		c[selected].Load++
 		used[selected] = true
 	}
@@ -79,11 +79,11 @@
 func TestSuspended(t *testing.T) {
 	c := endpoints(3)
 	c[0].Suspended, c[1].Suspended = true, true
-	assert.Equal(t, balancer.ByKey("k", c, balancer.Bound{Multiple: 2}), 2)
-	assert.Equal(t, balancer.ByLoad("k", c), 2)
+	assert.Equal(t, balancer.ByKey("", "k", c, balancer.Bound{Multiple: 2}), 2)
+	assert.Equal(t, balancer.ByLoad("", "k", c, balancer.Bound{}), 2)
 	c[2].Suspended = true
-	assert.Assert(t, balancer.ByKey("k", c, balancer.Bound{Multiple: 2}) >= 0)
-	assert.Equal(t, balancer.ByKey("k", nil, balancer.Bound{Multiple: 2}), -1)
+	assert.Assert(t, balancer.ByKey("", "k", c, balancer.Bound{Multiple: 2}) >= 0)
+	assert.Equal(t, balancer.ByKey("", "k", nil, balancer.Bound{Multiple: 2}), -1)
 }
 
 // Guards against requests without a prompt that queue at one endpoint while
@@ -94,7 +94,7 @@
 		c[i].Slots = 6
 	}
 	for r := range 22 {
-		c[balancer.ByLoad(fmt.Sprint(r), c)].Load++
+		c[balancer.ByLoad("", fmt.Sprint(r), c, balancer.Bound{})].Load++
 	}
 	for _, e := range c {
 		assert.Assert(t, e.Load == 5 || e.Load == 6, "%v", c)
@@ -108,7 +108,7 @@
 	c[1].Weight = 1.0 / 8
 	won := 0
 	for k := range 2000 {
-		if balancer.ByKey(fmt.Sprint(k), c, balancer.Bound{Multiple: 2}) == 1 {
+		if balancer.ByKey("", fmt.Sprint(k), c, balancer.Bound{Multiple: 2}) == 1 {
 			won++
 		}
 	}
@@ -122,12 +122,12 @@
 	busy := endpoints(8)
 	request := balancer.Request{RequestID: "r", Key: "hot", HasPrompt: true}
 	hot := balancer.ConsistentHash.Place(request, busy, balancer.Bound{Multiple: 2})
-	assert.Equal(t, hot, balancer.ByKey("hot", endpoints(8), balancer.Bound{Multiple: 2}))
+	assert.Equal(t, hot, balancer.ByKey("", "hot", endpoints(8), balancer.Bound{Multiple: 2}))
 	busy[hot].Load = 60
 	placed := func(r balancer.Policy) int { return r.Place(request, busy, balancer.Bound{Multiple: 2}) }
 	assert.Equal(t, placed(balancer.ConsistentHash), hot)
-	assert.Equal(t, placed(balancer.LeastLoad), balancer.ByLoad("hot", busy))
-	assert.Equal(t, placed(balancer.SharedPrefix), balancer.ByKey("hot", busy, balancer.Bound{Multiple: 2}))
+	assert.Equal(t, placed(balancer.LeastLoad), balancer.ByLoad("", "hot", busy, balancer.Bound{}))
+	assert.Equal(t, placed(balancer.SharedPrefix), balancer.ByKey("", "hot", busy, balancer.Bound{Multiple: 2}))
 	assert.Assert(t, placed(balancer.SharedPrefix) != hot)
 	chosen := map[int]bool{}
 	for r := range 100 {
--- a/balancer/rule.go
+++ b/balancer/rule.go
@@ -29,7 +29,7 @@
 
 // Request holds the properties of a request that decide its placement.
 type Request struct {
-	// RequestID is the input of the hash of the Random policy.
+	// RequestID is the input of the hash of the Random policy and of Bound.Spread.
 	RequestID string
 	// Key identifies the shared prefix of the prompt.
 	Key string
@@ -53,9 +53,9 @@
 		key := hasher.Hash(request.Key)
 		return highestHash(func(i int) uint64 { return hasher.Weight(key, hasher.Hash(candidates[i].ID)) }, candidates)
 	case p.CopiesPrefixes() && request.HasPrompt:
-		return ByKey(request.Key, candidates, b)
+		return ByKey(request.RequestID, request.Key, candidates, b)
 	default:
-		return ByLoad(request.Key, candidates)
+		return ByLoad(request.RequestID, request.Key, candidates, b)
 	}
 }
 
--- /dev/null
+++ b/collector/table.go
@@ -0,0 +1,115 @@
+package collector
+
+import (
+	"time"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/hasher"
+)
+
+const (
+	// maxWithoutCollectors is the largest number of routers that do without
+	// collectors: each hears all others within a second.
+	maxWithoutCollectors = 16
+	// routersPerCollector is the largest number of routers that report to one
+	// collector. At three reports a second it takes a few percent of a small VM.
+	routersPerCollector = 48
+	// collectorKey is the hash key by which routers are ranked to choose the
+	// collectors.
+	collectorKey = "load-collectors"
+	// expiry is how long a report counts. It covers a few lost messages.
+	expiry = 1500 * time.Millisecond
+)
+
+// Collectors returns the IDs of the collectors by failure domain, or nil if the
+// fleet does without. Routers with the same member list compute the same ones.
+func Collectors(members []bergamotdale.Member) map[string][]string {
+	if len(members) <= maxWithoutCollectors {
+		return nil
+	}
+	domains := map[string][]string{}
+	for _, m := range members {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], m.ID)
+	}
+	for domain, ids := range domains {
+		n := (len(ids) + routersPerCollector - 1) / routersPerCollector
+		domains[domain] = hasher.Order(collectorKey, ids)[:n]
+	}
+	return domains
+}
+
+// order returns the collectors in the order in which a router asks them. It
+// spreads the routers of a failure domain over its collectors.
+func order(self string, collectors []string) []string {
+	return hasher.Order(self, collectors)
+}
+
+// report is the latest report of a router or of another collector.
+type report struct {
+	loads      map[string]int
+	covers     int
+	receivedAt time.Time
+}
+
+// Table holds the reports that a collector has received. The zero value is ready.
+// It is not safe for concurrent use.
+type Table struct {
+	// own holds the loads of the collector itself.
+	own map[string]int
+	// routers holds the reports of single routers, and domains the sums of other
+	// collectors, by ID. A router is in one of them at most once, since it reports
+	// to one collector.
+	routers, domains map[string]report
+}
+
+// SetOwn replaces the loads of the collector itself.
+func (t *Table) SetOwn(loads map[string]int) { t.own = loads }
+
+// SetRouter replaces the report of a router.
+func (t *Table) SetRouter(now time.Time, id string, loads map[string]int) {
+	if t.routers == nil {
+		t.routers = map[string]report{}
+	}
+	t.routers[id] = report{loads: loads, covers: 1, receivedAt: now}
+}
+
+// SetDomain replaces the sums of another collector.
+func (t *Table) SetDomain(now time.Time, id string, loads map[string]int, covers int) {
+	if t.domains == nil {
+		t.domains = map[string]report{}
+	}
+	t.domains[id] = report{loads: loads, covers: covers, receivedAt: now}
+}
+
+// Sums returns the sums of the collector itself and of the routers that report to
+// it, and their number.
+func (t *Table) Sums(now time.Time) (map[string]int, int) {
+	sums, covers := map[string]int{}, 1
+	for id, n := range t.own {
+		sums[id] += n
+	}
+	return sums, covers + add(now, sums, t.routers)
+}
+
+// Totals returns the sums of all routers known, and their number.
+func (t *Table) Totals(now time.Time) (map[string]int, int) {
+	totals, covers := t.Sums(now)
+	return totals, covers + add(now, totals, t.domains)
+}
+
+// add adds the reports to the sums and returns how many routers they cover. It
+// removes those that have expired.
+func add(now time.Time, sums map[string]int, reports map[string]report) int {
+	covers := 0
+	for id, r := range reports {
+		if now.Sub(r.receivedAt) >= expiry {
+			delete(reports, id)
+			continue
+		}
+		covers += r.covers
+		for endpoint, n := range r.loads {
+			sums[endpoint] += n
+		}
+	}
+	return covers
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -63,9 +63,9 @@
 	address string
 	// reused is set once the connection has carried a complete exchange.
 	reused bool
-	// expires is the time from which the idle connection is not reused, because
-	// the endpoint may close it.
-	expires time.Time
+	// expires is the time on Dialer.Elapsed from which the idle connection is not
+	// reused, because the endpoint may close it.
+	expires time.Duration
 }
 
 // Dialer opens connections to endpoints and keeps idle ones for reuse. The zero
@@ -75,6 +75,10 @@
 	// MaxHead is the largest size in bytes of the headers of a response, with the
 	// informational responses before it. Zero selects DefaultMaxHead.
 	MaxHead int
+	// Elapsed returns a monotonic time. It should advance while the VM is suspended:
+	// an endpoint that closed an idle connection meanwhile would lose the next
+	// request on it. Nil selects the monotonic clock of package time.
+	Elapsed func() time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one at the end.
@@ -84,8 +88,19 @@
 	probes singleflight.Group
 }
 
+// processStart is the origin of the default of Dialer.Elapsed.
+var processStart = time.Now()
+
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 
+// elapsed returns the current time on Elapsed.
+func (d *Dialer) elapsed() time.Duration {
+	if d.Elapsed != nil {
+		return d.Elapsed()
+	}
+	return time.Since(processStart)
+}
+
 // maxHead returns the limit of the headers of a response.
 func (d *Dialer) maxHead() int {
 	if d.MaxHead > 0 {
@@ -102,7 +117,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && c.quiet() {
+		if d.elapsed() < c.expires && c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -195,7 +210,7 @@
 		return
 	}
 	c.reused = true
-	c.expires = time.Now().Add(timeout)
+	c.expires = d.elapsed() + timeout
 	if c.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
@@ -227,13 +242,13 @@
 // CloseExpired closes the idle connections that are too old to be reused. Callers
 // call it periodically.
 func (d *Dialer) CloseExpired() {
-	now := time.Now()
+	now := d.elapsed()
 	var expired []*Conn
 	d.mu.Lock()
 	for address, conns := range d.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.expires) {
+			if now < c.expires {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// Guards against a request on a connection that has been idle for longer than the
+// endpoint keeps it, because the VM of the router was suspended: the endpoint's FIN
+// may not have arrived, and a request that may run at most once would be lost.
+func TestIdleConnectionExpiresWhileSuspended(t *testing.T) {
+	address := serve(t, func(_, _ int, c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+	now := time.Hour
+	d := &dialer.Dialer{Elapsed: func() time.Duration { return now }}
+	for _, step := range []struct {
+		suspended time.Duration
+		reused    bool
+	}{{0, false}, {time.Second, true}, {5 * time.Second, false}} {
+		now += step.suspended
+		_, reused, err := exchange(t, d, address)
+		assert.NilError(t, err)
+		assert.Equal(t, reused, step.reused, "after %s", step.suspended)
+	}
+}
+
 // Guards against reporting a request as not sent when the connection closed before
 // the response: the endpoint may have executed it.
 func TestLostResponseCountsAsSent(t *testing.T) {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -30,6 +30,10 @@
 	largeFleet    = 16
 	hugeInterval  = 400 * time.Millisecond
 	hugeFleet     = 96
+	// outcomeInterval applies while the loads come from a collector, which takes
+	// half of the control traffic. The reports then serve only the detection of
+	// outliers.
+	outcomeInterval = 500 * time.Millisecond
 	// callTimeout is the timeout of an exchange. Round trips between routers take
 	// milliseconds.
 	callTimeout = 300 * time.Millisecond
@@ -63,7 +67,10 @@
 		if len(remaining) == 0 {
 			remaining = x.shuffledPeers()
 			x.Tracker.SetRouterCount(len(remaining) + 1)
-			wait = Interval(len(remaining))
+		}
+		wait = Interval(len(remaining))
+		if x.Tracker.HasTotals(x.Clock.Now()) {
+			wait = max(wait, outcomeInterval)
 		}
 		if len(remaining) > 0 {
 			x.exchangeWith(ctx, remaining[0])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
+	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/gossiper"
@@ -86,6 +87,7 @@
 	gossiper    *gossiper.Gossiper
 	quarantine  *isolator.Isolator
 	exchanger   *exchanger.Exchanger
+	collector   *collector.Collector
 	relayer     *relayer.Relayer
 	meter       *meter.Meter
 	selfMonitor *selfmonitor.Monitor
@@ -111,7 +113,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.evaluateEndpoints, g.runReloader, g.selfMonitor.Run} {
+	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.evaluateEndpoints, g.runReloader, g.selfMonitor.Run} {
 		componentCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return component(componentCtx) }, func(error) { cancel() })
 	}
@@ -142,7 +144,7 @@
 		return errors.Trace(err)
 	}
 	g.meter = metrics
-	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead)}
+	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), Elapsed: g.Elapsed}
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
@@ -174,6 +176,10 @@
 		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
 		Logger: g.Logger.Named("exchanger"), Members: g.gossiper.Live,
 	}
+	g.collector = &collector.Collector{
+		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
+		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live,
+	}
 	g.relayer = &relayer.Relayer{
 		FailureDomain:   g.Settings.FailureDomain,
 		Dialect:         dialect,
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/gossiper"
 	"github.com/bergamotdale/bergamotdale/peerserver"
@@ -53,6 +54,7 @@
 		return g.gossiper.HandleIndirect(ctx, m), nil
 	})
 	peerserver.Handle(api, maxPeerMessage, exchanger.Path, g.exchanger.Handle)
+	peerserver.Handle(api, maxPeerMessage, collector.Path, g.collector.Handle)
 	peerserver.Handle(api, maxPeerMessage, replicator.Path, g.replica.Serve)
 	return mux
 }
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -40,7 +40,7 @@
 	for k := range 50 {
 		key := fmt.Sprint(k)
 		candidates := []balancer.Candidate{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}, {ID: "c", Weight: 1}}
-		home := balancer.ByKey(key, candidates, balancer.Bound{Multiple: 2})
+		home := balancer.ByKey("", key, candidates, balancer.Bound{Multiple: 2})
 		target := (home + 1) % 3
 		assert.Equal(t, l.Source(key, endpoints[target].ID, endpoints), endpoints[home].Address)
 	}
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -263,7 +263,7 @@
 	limits := r.limits.Load()
 	index := limits.Placement.Place(balancer.Request{
 		RequestID: j.envelope.RequestID, Key: j.key, HasPrompt: len(j.envelope.Parts) > 0,
-	}, candidates, balancer.Bound{Multiple: limits.LoadMultiple})
+	}, candidates, r.loadBound(limits))
 	if index < 0 {
 		return subscriber.Endpoint{}, bergamotdale.Refuse(bergamotdale.CodeNoEndpoint,
 			"no endpoint is available for service %s: %d known, %d already tried", j.service, len(endpoints), len(j.tried)).After(refusedRetryAfter)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -38,6 +38,11 @@
 	retrySlackShare = 0.7
 	// DefaultMaxResponse is the default of Limits.MaxResponse in bytes.
 	DefaultMaxResponse = 64 << 20
+	// From spreadFleet routers on, placement counts on requests that other routers
+	// place at the same time; see balancer.Bound.Spread. In a smaller fleet each
+	// router hears of the others' requests within a few hundred milliseconds.
+	spreadFleet = 17
+	fleetSpread = 0.5
 )
 
 // Directory is the router's local copy of the configuration and of the registered
@@ -181,6 +186,15 @@
 	return b
 }
 
+// loadBound returns the bound by which requests are placed.
+func (r *Relayer) loadBound(limits *Limits) balancer.Bound {
+	b := balancer.Bound{Multiple: limits.LoadMultiple}
+	if r.Routers() >= spreadFleet {
+		b.Spread = fleetSpread
+	}
+	return b
+}
+
 // screeningState returns the configuration and its age, by which a request is
 // screened.
 func (r *Relayer) screeningState() screener.ConfigState {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -375,6 +375,26 @@
 	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable))
 }
 
+// Guards against routers of a large fleet that all watch the store in the first
+// second after their start, when their member lists are still short: 195 routers
+// made about 500 calls while the endpoints registered.
+func TestStartWaitsForTheMemberList(t *testing.T) {
+	s, p := &fakeStore{}, &fakePeer{response: replicator.Response{Usable: true, Revision: 12}}
+	source := newSource(s, p, 60)
+	all := source.Members
+	asked := 0
+	source.Members = func() []bergamotdale.Member {
+		if asked++; asked <= 3 {
+			return all()[:asked]
+		}
+		return all()
+	}
+	_, err := source.Changes(context.Background(), "", 9, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, s.calls, 0)
+	assert.Equal(t, p.calls, 1)
+}
+
 // Guards against a small fleet in which routers depend on observers.
 func TestSmallFleetWatchesDirectly(t *testing.T) {
 	s, p := &fakeStore{}, &fakePeer{}
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -41,6 +41,12 @@
 	// a router queries only other routers. A further failed call would take two
 	// seconds, in which the API keys grow older.
 	storeRetryDelay = 3 * time.Second
+	// settleTime is how long a router that has just started waits for its member
+	// list to show whether the fleet is large, and settleInterval how often it
+	// looks. Without it each router of a large fleet watches the store itself in
+	// the first second, when all endpoints register.
+	settleTime     = 800 * time.Millisecond
+	settleInterval = 50 * time.Millisecond
 	// avoidPeriod is the time during which a follower does not ask an observer
 	// after a failed request. Membership detects a failed router within a few
 	// seconds.
@@ -63,6 +69,8 @@
 	// OnStoreLost, if not nil, is called when a call to the store fails.
 	OnStoreLost func()
 
+	// settled is set once the first call of Changes has waited for the member list.
+	settled bool
 	// hops is the number of routers that the last batch passed through, or
 	// contentLost.
 	hops int
@@ -118,6 +126,7 @@
 // first, an observer the primaries, and each the store if none of them responds.
 func (s *Source) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (bergamotdale.Batch, error) {
 	s.revision = max(s.revision, after)
+	s.settle(ctx)
 	upstream := s.upstream()
 	for _, m := range upstream.routers {
 		request := Request{After: after, WaitMS: upstream.wait.Milliseconds(), MaxHops: upstream.maxHops}
@@ -145,6 +154,20 @@
 	return s.watchStore(ctx, prefix, after, wait)
 }
 
+// settle waits at the first call until the member list is that of a large fleet,
+// but at most settleTime.
+func (s *Source) settle(ctx context.Context) {
+	if s.settled {
+		return
+	}
+	s.settled = true
+	for waited := time.Duration(0); waited < settleTime && len(s.Members()) <= maxDirectFleet; waited += settleInterval {
+		if bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, settleInterval) != nil {
+			return
+		}
+	}
+}
+
 // watchStore watches the store directly. For storeRetryDelay after a failed call,
 // it asks other routers instead.
 func (s *Source) watchStore(ctx context.Context, prefix string, after int64, wait time.Duration) (bergamotdale.Batch, error) {
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,10 @@
 	// readHeaderTimeout bounds the time that a client may take to send the
 	// headers of a request.
 	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the headers of a request, also on connections that are
+	// used again. The limits of the configuration are lower. With the default of
+	// net/http, 200 clients could fill the memory of a VM.
+	maxHeaderBytes = 64 << 10
 	// idleTimeout is longer than the time for which well-behaved clients keep an
 	// idle connection, so that the server rarely closes a connection that is
 	// about to be used.
@@ -67,6 +71,7 @@
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 			IdleTimeout:       idleTimeout,
 			Protocols:         protocols,
 			ErrorLog:          zap.NewStdLog(logger.Named(name)),
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -25,6 +25,8 @@
 	// peerExpiry is how long the report of another router counts. It limits how
 	// long the last reported load of a router that stopped is added to endpoints.
 	peerExpiry = 2 * time.Second
+	// totalsExpiry is how long the sums of a collector count.
+	totalsExpiry = 1500 * time.Millisecond
 	// ejectInterval, ejectFraction and ejectRequests configure the detection of
 	// outliers. Outliers are detected within seconds, and the weight taken away is
 	// at most ejectFraction of the total weight of a service.
@@ -92,6 +94,17 @@
 	groups map[string]*ejector.Group
 	// routers is the number of live routers, this one included.
 	routers int
+	// totals holds the loads of other routers that a collector has added up; nil
+	// if there were none.
+	totals *totals
+}
+
+// totals holds the sums of the loads of other routers.
+type totals struct {
+	loads map[string]int
+	// covers is the number of routers included.
+	covers     int
+	receivedAt time.Time
 }
 
 // New returns an empty tracker.
@@ -172,15 +185,20 @@
 	return candidates, records
 }
 
-// peerLoad returns the load of an endpoint from other routers. In a large fleet
-// only some reports are recent at any time, so the sum of the recent ones is
-// extrapolated to all other routers. The lock is held.
+// peerLoad returns the load of an endpoint from other routers: the sums of a
+// collector, or else those of the reports. In a large fleet only some reports are
+// recent at any time. What is known is extrapolated to all other routers. The lock
+// is held.
 func (t *Tracker) peerLoad(now time.Time, id string) int {
 	sum, recent := 0, 0
-	for _, p := range t.peers {
-		if now.Sub(p.receivedAt) < peerExpiry {
-			sum += p.Loads[id]
-			recent++
+	if t.totalsRecent(now) {
+		sum, recent = t.totals.loads[id], t.totals.covers
+	} else {
+		for _, p := range t.peers {
+			if now.Sub(p.receivedAt) < peerExpiry {
+				sum += p.Loads[id]
+				recent++
+			}
 		}
 	}
 	if others := t.routers - 1; recent > 0 && others > recent {
@@ -189,6 +207,34 @@
 	return sum
 }
 
+// totalsRecent reports whether the sums of a collector are recent enough to count.
+// The lock is held.
+func (t *Tracker) totalsRecent(now time.Time) bool {
+	return t.totals != nil && now.Sub(t.totals.receivedAt) < totalsExpiry
+}
+
+// SetTotals replaces the sums of the loads of other routers. covers is the number
+// of routers included, without this one.
+func (t *Tracker) SetTotals(now time.Time, loads map[string]int, covers int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.totals = &totals{loads: loads, covers: covers, receivedAt: now}
+}
+
+// HasTotals reports whether the loads come from the sums of a collector.
+func (t *Tracker) HasTotals(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.totalsRecent(now)
+}
+
+// EndpointCount returns the number of known endpoints.
+func (t *Tracker) EndpointCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.endpoints)
+}
+
 // SetRouterCount sets the number of live routers, this one included.
 func (t *Tracker) SetRouterCount(n int) {
 	t.mu.Lock()
--- a/watchdog/watchdog.go
+++ b/watchdog/watchdog.go
@@ -69,7 +69,7 @@
 	// incompleteSince is when the first bytes of the incomplete event arrived, as
 	// nanoseconds since begun; zero if there is none.
 	incompleteSince atomic.Int64
-	timer     *time.Timer
+	timer           *time.Timer
 }
 
 // Watch starts the watchdog and returns the context for the attempt. If the
