relayer: a response without an ID on a reused connection is not the request's own

Cause: a second copy of an earlier response that arrives late, on a connection that is in use again, was skipped only if it carried the ID of the earlier request. One without an ID went to the next client as its own, or, as a refusal that says 'not executed', made the router send a request that may run once to another endpoint. Change: without an ID a response is accepted only on a connection that has carried no other request.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -68,6 +68,9 @@
 	expires time.Duration
 }
 
+// Reused reports whether the connection has carried a complete exchange.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Dialer opens connections to endpoints and keeps idle ones for reuse. The zero
 // value is ready. Its methods may be called concurrently. Exported fields are set
 // before the first call.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -84,7 +84,7 @@
 	monitor := j.watchdog(target)
 	watchedCtx := monitor.Watch(ctx)
 	defer monitor.Stop()
-	exchange, err := r.Dialer.Send(watchedCtx, conn, j.endpointRequest(target))
+	exchange, err := r.Dialer.Send(watchedCtx, conn, j.endpointRequest(target, conn.Reused()))
 	if err != nil {
 		// If the client gives up after the endpoint has been silent for
 		// MinFirstByteTimeout, this too counts as a failure of the endpoint.
@@ -121,7 +121,10 @@
 }
 
 // endpointRequest returns the request with the headers of an attempt at the target.
-func (j *job) endpointRequest(target subscriber.Endpoint) dialer.Request {
+// reused tells whether the connection has carried other requests: a late copy of
+// the response to one of them may arrive on it, so that a response without an ID
+// is not taken for the response to this request.
+func (j *job) endpointRequest(target subscriber.Endpoint, reused bool) dialer.Request {
 	r := j.relayer
 	resume := j.framer.LastID()
 	header := r.Dialect.AttemptHeader(j.request.Header, bergamotdale.AttemptHeaders{
@@ -140,7 +143,7 @@
 		Body:   j.body,
 		MatchesResponse: func(h http.Header) bool {
 			id := r.Dialect.ResponseInfo(http.StatusOK, h).RequestID
-			return id == "" || id == j.envelope.RequestID
+			return id == j.envelope.RequestID || id == "" && !reused
 		},
 	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -123,6 +123,44 @@
 	}
 }
 
+// Guards against a late copy of an earlier response that a client gets as its own: it
+// arrives after the connection was found idle, with the next request, as a whole or in
+// pieces, with the ID of the earlier request or without one, also one that claims that
+// the request was not executed.
+func TestLateCopyIsSkipped(t *testing.T) {
+	copies := map[string]string{
+		"other id":        "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: 1\r\nContent-Length: 6\r\n\r\nown r1",
+		"no id":           "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 6\r\n\r\nown r1",
+		"not executed":    "HTTP/1.1 503 X\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n",
+		"not modified":    "HTTP/1.1 304 X\r\nX-Signed: 1\r\n\r\n",
+		"no content":      "HTTP/1.1 204 X\r\nX-Signed: 1\r\n\r\n",
+		"chunked, no id":  "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nown r1\r\n0\r\n\r\n",
+		"chunked, other":  "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nown r1\r\n0\r\n\r\n",
+		"early hint, too": "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 6\r\n\r\nown r1",
+	}
+	for name, text := range copies {
+		for _, pieces := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s in %d", name, pieces), func(t *testing.T) {
+				e := startEndpoint(t, func(n int, r *http.Request, c net.Conn) bool {
+					if n == 1 {
+						for i := range pieces {
+							fmt.Fprint(c, text[len(text)*i/pieces:len(text)*(i+1)/pieces])
+						}
+					}
+					return writeResponse(c, r, 200, "own "+r.Header.Get("X-Id"))
+				})
+				server := startRelayer(t, atMostOnceRoute, e)
+				for _, id := range []string{"r1", "r2", "r3"} {
+					got := call(t, server, http.MethodPost, id, "x")
+					assert.Equal(t, got.status, 200)
+					assert.Equal(t, got.body, "own "+id)
+				}
+				assert.Equal(t, e.requestCount(), 3)
+			})
+		}
+	}
+}
+
 // Guards against a resumable stream that loses or repeats events, or ends, when its
 // connection breaks in the middle of an event.
 func TestStreamResumes(t *testing.T) {
