exchanger: interval and fleet size follow the members at once

Cause: the number of routers, from which loads are extrapolated and the interval follows, was read only when a pass over all routers ended: 78 to 97 s with 195 routers, and the first pass began with the few members known at the start. Change: both are read before each exchange. Test: TestFleetSizeAppliesAtOnce; before, 194 routers counted as 2 for a whole pass.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -56,30 +56,41 @@
 	Logger  *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+
+	// remaining holds the routers that are still to be asked in this pass. Only
+	// ExchangeOnce uses it.
+	remaining []bergamotdale.Member
 }
 
 // Run exchanges reports with one router after the other until the context is
 // done.
 func (x *Exchanger) Run(ctx context.Context) error {
-	var remaining []bergamotdale.Member
 	wait := interval
 	for bergamotdale.Wait(ctx, x.Clock, wait) == nil {
-		if len(remaining) == 0 {
-			remaining = x.shuffledPeers()
-			x.Tracker.SetRouterCount(len(remaining) + 1)
-		}
-		wait = Interval(len(remaining))
-		if x.Tracker.HasTotals(x.Clock.Now()) {
-			wait = max(wait, outcomeInterval)
-		}
-		if len(remaining) > 0 {
-			x.exchangeWith(ctx, remaining[0])
-			remaining = remaining[1:]
-		}
+		wait = x.ExchangeOnce(ctx)
 	}
 	return ctx.Err()
 }
 
+// ExchangeOnce exchanges reports with the next router and returns the time until the
+// next exchange. It is not safe for concurrent use.
+func (x *Exchanger) ExchangeOnce(ctx context.Context) time.Duration {
+	peers := x.shuffledPeers()
+	x.Tracker.SetRouterCount(len(peers) + 1)
+	if len(x.remaining) == 0 {
+		x.remaining = peers
+	}
+	if len(x.remaining) > 0 {
+		x.exchangeWith(ctx, x.remaining[0])
+		x.remaining = x.remaining[1:]
+	}
+	wait := Interval(len(peers))
+	if x.Tracker.HasTotals(x.Clock.Now()) {
+		wait = max(wait, outcomeInterval)
+	}
+	return wait
+}
+
 // Interval returns the time between two exchanges that a router with the given
 // number of peers starts.
 func Interval(peers int) time.Duration {
