serviceclient: a response above the limit is not taken for a complete one

Cause: the body was read through a LimitReader of 1 MiB, whose end looks like that of the response, so a caller got a truncated response as a whole one. Change: the call ends as failed with an unknown outcome: it has run.

--- a/serviceclient/serviceclient.go
+++ b/serviceclient/serviceclient.go
@@ -15,8 +15,8 @@
 	"github.com/bergamotdale/bergamotdale/requester"
 )
 
-// maxResponseBytes is the maximum size of a response. The rest of a longer response
-// is cut off.
+// maxResponseBytes is the maximum size of a response. After a larger one the outcome
+// of the call is unknown.
 const maxResponseBytes = 1 << 20
 
 // Client implements bergamotdale.Service.
@@ -51,10 +51,14 @@
 		return bergamotdale.ServiceResponse{}, requester.RefusalFromError(ctx, err, "service %s", address)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return bergamotdale.ServiceResponse{}, requester.RefusalFromError(ctx, err, "service %s", address)
 	}
+	if len(body) > maxResponseBytes {
+		return bergamotdale.ServiceResponse{}, bergamotdale.Refuse(bergamotdale.CodeEndpointFailed,
+			"the response of service %s is larger than %d bytes", address, maxResponseBytes).WithOutcome(bergamotdale.OutcomeUnknown)
+	}
 	if refusal := requester.RefusalFromResponse(resp, body); refusal != nil {
 		return bergamotdale.ServiceResponse{}, refusal
 	}
--- a/serviceclient/serviceclient_test.go
+++ b/serviceclient/serviceclient_test.go
@@ -52,6 +52,38 @@
 	}
 }
 
+// Guards against a response above the limit that is cut off and taken for a complete
+// one, and against a response that never ends.
+func TestLargeResponse(t *testing.T) {
+	for name, size := range map[string]int{"at the limit": 1 << 20, "above it": 1<<20 + 1, "endless": 0} {
+		t.Run(name, func(t *testing.T) {
+			endless := name == "endless"
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				chunk := []byte(strings.Repeat("x", 1<<10))
+				for written := 0; endless || written < size; written += len(chunk) {
+					n := len(chunk)
+					if !endless {
+						n = min(n, size-written)
+					}
+					if _, err := w.Write(chunk[:n]); err != nil {
+						return
+					}
+				}
+			}))
+			defer h.Close()
+			got, err := (&serviceclient.Client{}).Call(context.Background(), strings.TrimPrefix(h.URL, "http://"), bergamotdale.ServiceRequest{Call: "book"})
+			if size == 1<<20 {
+				assert.NilError(t, err)
+				assert.Equal(t, len(got.Body), size)
+				return
+			}
+			refusal := &bergamotdale.Refusal{}
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeUnknown)
+		})
+	}
+}
+
 // Guards against an unknown outcome of a call for which no connection could be
 // opened, and against an error status of the service being reported as a refusal.
 func TestNoConnectionAndErrorStatus(t *testing.T) {
