balancer: about equal loads tie in a large fleet, the own failure domain first

Change: loads within the margin tie; ties go to the own failure domain and then by the request. Endpoints with a reduced weight get no margin. Test: TestByLoadSpreadsOverAboutEqualLoads.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,18 +102,27 @@
 
 // ByLoad returns the index of the candidate with the least load per slot, or -1
 // without candidates. Ties go to a candidate in the same failure domain, then to
-// the first one in rendezvous order for the key. With Bound.Spread, candidates
-// whose loads differ by less than that part of the mean count as equal now and
-// then, so that the routers of a large fleet do not all choose the same one.
+// the first one in rendezvous order for the key. With Bound.Spread, loads that
+// differ from the least one by up to that part of the mean tie too, except those of
+// candidates with a reduced weight, and the order is that of the request, so that
+// the routers of a large fleet do not all choose the same candidate.
 func ByLoad(requestID, key string, candidates []Candidate, b Bound) int {
-	keyHash, requestHash := hasher.Hash(key), hasher.Hash(requestID)
-	noise := 0.0
+	least, margin := math.Inf(1), 0.0
 	if b.Spread > 0 {
-		noise = b.Spread * meanLoad(candidates)
+		key, margin = requestID, b.Spread*meanLoad(candidates)
 	}
+	for _, c := range candidates {
+		if !c.Suspended {
+			least = min(least, relativeLoad(c, 0))
+		}
+	}
+	keyHash := hasher.Hash(key)
 	best, bestLoad := -1, 0.0
 	for i, c := range candidates {
-		load := relativeLoad(c, noise*uniform(hasher.Weight(requestHash, hasher.Hash(c.ID))))
+		load := relativeLoad(c, 0)
+		if margin > 0 && !c.Suspended && c.Weight >= 1 {
+			load = max(least, relativeLoad(c, -margin))
+		}
 		if best < 0 || lessLoaded(keyHash, c, load, candidates[best], bestLoad) {
 			best, bestLoad = i, load
 		}
@@ -121,13 +130,13 @@
 	return best
 }
 
-// meanLoad returns the mean load of the candidates plus 1.
+// meanLoad returns the mean load of the candidates.
 func meanLoad(candidates []Candidate) float64 {
 	total := 0
 	for _, c := range candidates {
 		total += c.Load
 	}
-	return float64(total)/float64(max(1, len(candidates))) + 1
+	return float64(total) / float64(max(1, len(candidates)))
 }
 
 // rendezvousScore returns the weighted rendezvous hashing score of a candidate
@@ -158,8 +167,7 @@
 	return rendezvousScore(keyHash, a) > rendezvousScore(keyHash, b)
 }
 
-// relativeLoad returns the load per slot, with a number of requests added to the
-// load. A weight below 1 reduces the number of slots that count.
+// relativeLoad returns the load per slot, with a number of requests added. A weight below 1 reduces the number of slots that count.
 func relativeLoad(c Candidate, added float64) float64 {
 	weight := max(minWeight, c.Weight)
 	load := float64(c.Load) + added
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -146,3 +146,32 @@
 		}
 	}
 }
+
+// Guards against a large fleet whose routers all send their requests to the one least
+// loaded endpoint until they hear of each other's requests, and against one that
+// leaves the failure domain of the router for loads that hardly differ.
+func TestByLoadSpreadsOverAboutEqualLoads(t *testing.T) {
+	c := endpoints(12)
+	for i := range c {
+		c[i].Load, c[i].Slots = 6+i%3, 12
+	}
+	c[0].Load = 5
+	chosen := map[int]int{}
+	for r := range 600 {
+		chosen[balancer.ByLoad(fmt.Sprint(r), "popular", c, balancer.Bound{Spread: 0.5})]++
+	}
+	for i, n := range chosen {
+		assert.Assert(t, n < 150, "endpoint %d of 12 got %d of 600 requests", i, n)
+	}
+	c[5].SameFailureDomain = true
+	assert.Equal(t, balancer.ByLoad("r", "popular", c, balancer.Bound{Spread: 0.5}), 5)
+	c[5].Load = 12
+	assert.Assert(t, balancer.ByLoad("r", "popular", c, balancer.Bound{Spread: 0.5}) != 5)
+	c[5].Load, c[5].Weight = 1, 1.0/16
+	assert.Assert(t, balancer.ByLoad("r", "popular", c, balancer.Bound{Spread: 0.5}) != 5, "an endpoint that fails requests")
+	for i := range c {
+		c[i].Suspended = true
+	}
+	c[3].Load = 0
+	assert.Equal(t, balancer.ByLoad("r", "popular", c, balancer.Bound{}), 3, "the least loaded of the suspended ones")
+}
