framer: the end of an event is found in one pass

Cause: for each event both forms of a blank line were searched in all that was read, so the time grew with the square of the number of events: 136 ms of processor time for 60,000 blank lines. An endpoint in trouble may send them without end. Test: TestManyShortEvents; found by FuzzPush, which stopped making progress.

--- a/framer/framer.go
+++ b/framer/framer.go
@@ -71,16 +71,24 @@
 }
 
 // eventEnd returns the index after the first blank line, which ends an event, or
-// -1.
+// -1. It reads the bytes once, so that many short events cost no more than one long
+// one.
 func eventEnd(p []byte) int {
-	end := -1
-	if i := bytes.Index(p, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.Index(p, []byte("\n\r\n")); i >= 0 && (end < 0 || i+3 < end) {
-		end = i + 3
+	for i := bytes.IndexByte(p, '\n'); i >= 0; {
+		rest := p[i+1:]
+		switch {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return i + 2
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return i + 3
+		}
+		next := bytes.IndexByte(rest, '\n')
+		if next < 0 {
+			return -1
+		}
+		i += 1 + next
 	}
-	return end
+	return -1
 }
 
 // recordEvent counts a complete event and records its id, if it has one. Lines
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -48,3 +49,21 @@
 	_, err := f.Push(make([]byte, framer.DefaultMaxEvent+1))
 	assert.ErrorContains(t, err, "larger")
 }
+
+// Guards against processor time that grows with the square of the number of events in
+// a read: an endpoint in trouble may send blank lines without end. 100 times as many
+// bytes may take 1,000 times as long.
+func TestManyShortEvents(t *testing.T) {
+	push := func(n int) time.Duration {
+		best := time.Hour
+		for range 5 {
+			f, started := framer.Framer{}, time.Now()
+			_, err := f.Push(bytes.Repeat([]byte("\n\n"), n))
+			assert.NilError(t, err)
+			best = min(best, time.Since(started))
+		}
+		return best
+	}
+	small, large := push(300), push(30_000)
+	assert.Assert(t, large < 1000*max(small, 10*time.Microsecond), "%s for 300 events, %s for 30,000", small, large)
+}
