server, gateway: a planned stop answers every request that has arrived

Cause: http.Server.Shutdown drops a request that it has read while it shuts down; SetKeepAlivesEnabled(false) closes idle connections whose next request is on its way; closing a listener resets the connections of its backlog. In 10 stops under load 4 of some 2,000 requests had no answer, none of which had run. Change: during a stop each response closes its connection; server.Drain accepts the established connections, closes the listener, answers everything that arrives and ends once no request is in progress.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -49,11 +49,17 @@
 	return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping").After(stoppingRetryAfter)
 }
 
-// countActive wraps a handler and counts its requests in progress.
+// countActive wraps a handler and counts its requests in progress. During a planned
+// stop each response closes its connection, so that the client connects to another
+// router. Idle connections stay open until the listener closes: the next request
+// may already be on its way.
 func (g *Gateway) countActive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.activeRequests.Add(1)
 		defer g.activeRequests.Add(-1)
+		if g.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -71,7 +77,6 @@
 	g.Logger.Info("stopping", zap.Int64("requests", g.activeRequests.Load()), zap.Duration("deadline", g.Settings.StopDeadline))
 	g.stopping.Store(true)
 	g.gossiper.SetDraining()
-	clientServer.DisableKeepAlives()
 	// If the deadline is short, half of its time is kept for requests in progress.
 	accept := min(acceptAfterStop, deadline.Sub(began)/2)
 	if bergamotdale.Wait(groupCtx, g.clock, accept) != nil {
@@ -81,7 +86,7 @@
 	drainCtx, cancel := context.WithTimeout(groupCtx, deadline.Sub(g.clock.Now()))
 	defer cancel()
 	if bergamotdale.Wait(drainCtx, g.clock, refuseAfterStop) == nil {
-		clientServer.Shutdown(drainCtx)
+		clientServer.Drain(drainCtx)
 	}
 	for g.activeRequests.Load() > 0 {
 		if bergamotdale.Wait(drainCtx, g.clock, drainPollInterval) != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,8 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +27,11 @@
 	// used again. The limits of the configuration are lower. With the default of
 	// net/http, 200 clients could fill the memory of a VM.
 	maxHeaderBytes = 64 << 10
+	// firstRequestTime is how long Drain waits for the first request on a connection.
+	// TCP retransmits a lost packet after 0.2 to 0.4 s.
+	firstRequestTime = 500 * time.Millisecond
+	// drainPollInterval is the time between two checks of Drain.
+	drainPollInterval = 10 * time.Millisecond
 	// idleTimeout is longer than the time for which well-behaved clients keep an
 	// idle connection, so that the server rarely closes a connection that is
 	// about to be used.
@@ -45,6 +52,13 @@
 	// first actor that returns ends the whole run group, and the planned stop may
 	// not be complete yet.
 	closed chan struct{}
+	// draining is set by Drain.
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// conns holds the connections that have not sent a request yet or that have one
+	// in progress.
+	conns map[net.Conn]http.ConnState
 }
 
 // New returns a server that serves on the open listener. If that is nil, it opens
@@ -59,32 +73,43 @@
 			return nil, errors.Annotatef(err, "opening the listener for %s", name)
 		}
 	}
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		listener = newDrainingListener(tcp)
+	}
+	s := &Server{name: name, listener: listener, logger: logger, closed: make(chan struct{}), conns: map[net.Conn]http.ConnState{}}
 	// The gRPC clients of operators need HTTP/2 without TLS.
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{
-		name:     name,
-		listener: listener,
-		logger:   logger,
-		closed:   make(chan struct{}),
-		http: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			IdleTimeout:       idleTimeout,
-			Protocols:         protocols,
-			ErrorLog:          zap.NewStdLog(logger.Named(name)),
-		},
-	}, nil
+	s.http = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		Protocols:         protocols,
+		ErrorLog:          zap.NewStdLog(logger.Named(name)),
+		ConnState:         s.recordState,
+	}
+	return s, nil
+}
+
+// recordState records the state of a connection.
+func (s *Server) recordState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		s.conns[c] = state
+	} else {
+		delete(s.conns, c)
+	}
 }
 
-// Run serves until the server is shut down or interrupted. It returns ErrClosed
+// Run serves until the server is shut down, drained or interrupted. It returns ErrClosed
 // then, after Interrupt has been called, and another error if serving fails.
 func (s *Server) Run() error {
 	s.logger.Info("listening", zap.String("server", s.name), zap.Stringer("address", s.listener.Addr()))
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-s.closed
 		return ErrClosed
 	}
@@ -97,6 +122,50 @@
 	close(s.closed)
 }
 
+// Drain closes the listener and waits until no request is in progress or the context
+// is done. Unlike Shutdown it answers all requests that arrive meanwhile:
+// http.Server.Shutdown drops a request that was read just then, and closes idle
+// connections whose next request may be on its way.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	listener, ok := s.listener.(*drainingListener)
+	if !ok {
+		s.Shutdown(ctx)
+		return
+	}
+	if err := listener.drain(); err != nil {
+		s.logger.Warn("draining the listener failed", zap.String("server", s.name), zap.Error(err))
+	}
+	drained := time.Now()
+	for {
+		silent, active := s.countConns()
+		if active == 0 && (silent == 0 || time.Since(drained) >= firstRequestTime) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			s.logger.Warn("server drained with requests in progress", zap.String("server", s.name), zap.Int("requests", active))
+			return
+		case <-time.After(drainPollInterval):
+		}
+	}
+}
+
+// countConns returns the number of connections that have not sent a request yet and
+// of those that have one in progress.
+func (s *Server) countConns() (silent, active int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.conns {
+		if state == http.StateNew {
+			silent++
+		} else {
+			active++
+		}
+	}
+	return silent, active
+}
+
 // Shutdown closes the listener and waits until the requests in progress have
 // ended or the context is done.
 func (s *Server) Shutdown(ctx context.Context) {
@@ -104,9 +173,3 @@
 		s.logger.Warn("server shut down with requests in progress", zap.String("server", s.name), zap.Error(err))
 	}
 }
-
-// DisableKeepAlives makes the server close each connection after its next
-// response, so that clients connect to another server.
-func (s *Server) DisableKeepAlives() {
-	s.http.SetKeepAlivesEnabled(false)
-}
