replicator: a router learns in time of changes when those it follows are cut off

Change: 0.5 s for a primary, 1.2 s for an observer, 0.4 s for the next of either, 0.05 s when the store is about to be called; a follower calls it 0.3 to 0.7 s after its observers have lost it.

--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -538,3 +538,48 @@
 	r.Apply(bergamotdale.Batch{Revision: 5}, 0)
 	assert.Assert(t, (<-answered).Usable)
 }
+
+// silentPeers is a set of routers that do not respond until the call times out, or
+// that respond without content when the long poll ends.
+type silentPeers struct {
+	bergamotdale.Peer
+	responds bool
+}
+
+func (p silentPeers) Call(ctx context.Context, _, _ string, request, _ any) error {
+	if p.responds {
+		<-time.After(time.Duration(request.(replicator.Request).WaitMS) * time.Millisecond)
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a router that learns too late of an endpoint that leaves, because the
+// routers that it follows are cut off and it waits for one after the other: on
+// benjelloun-ourlets-grown (fresh-e15d) a request reached an endpoint 3.2 s after it
+// had said that it leaves, where 3 s are promised. An observer's last batch may be
+// 0.3 s old when it is cut off.
+func TestSilentObserversCostLittleTime(t *testing.T) {
+	for _, role := range []string{"follower", "observer"} {
+		for _, responds := range []bool{false, true} {
+			s := &fakeStore{}
+			source := newSource(s, &fakePeer{}, 60)
+			source.Peer = silentPeers{responds: responds}
+			if role == "observer" {
+				observers := replicator.Observers(source.Members())
+				for _, id := range observers {
+					if !slices.Contains(replicator.Primaries(observers), id) {
+						source.Self = id
+					}
+				}
+			}
+			started := time.Now()
+			for s.calls == 0 {
+				_, err := source.Changes(context.Background(), "", 9, time.Second)
+				assert.Assert(t, err == nil || errors.Is(err, bergamotdale.ErrUnavailable))
+			}
+			assert.Assert(t, time.Since(started) < 2700*time.Millisecond, "%s, responds %t: %s", role, responds, time.Since(started))
+		}
+	}
+}
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -17,12 +17,18 @@
 	// the other routers soon notice when the primary cannot reach the store.
 	primaryWatchWait = 300 * time.Millisecond
 	// observerPollWait is the time that an observer waits for the next batch of
-	// its primary: twice the usual time between two batches.
-	observerPollWait = 700 * time.Millisecond
+	// its primary, which is longer than the usual time between two batches.
+	observerPollWait = 500 * time.Millisecond
 	// followerPollWait is the time that a follower waits for the next batch of
 	// its observer. It covers an observer that turns from a primary without
 	// response to the next one.
-	followerPollWait = 1400 * time.Millisecond
+	followerPollWait = 1200 * time.Millisecond
+	// nextPollWait replaces both after a router without content: the changes that
+	// were missed may have to take effect within two seconds.
+	nextPollWait = 400 * time.Millisecond
+	// minPollWait is the wait for a router that had lost the store when this one is
+	// about to call the store itself.
+	minPollWait = 50 * time.Millisecond
 	// pollGrace is added to the wait of a long poll for its timeout, after which
 	// the responding router counts as failed.
 	pollGrace = 300 * time.Millisecond
@@ -55,7 +61,7 @@
 	// itself within observerDirectDelay. A follower waits for that first and calls
 	// it at most followerDirectDelay later.
 	observerDirectDelay = 300 * time.Millisecond
-	followerDirectDelay = 600 * time.Millisecond
+	followerDirectDelay = 400 * time.Millisecond
 	// avoidPeriod is the time during which a follower does not ask an observer
 	// after a failed request. Membership detects a failed router within a few
 	// seconds.
@@ -140,6 +146,9 @@
 	s.revision = max(s.revision, after)
 	s.settle(ctx)
 	upstream := s.upstream()
+	if !s.nextDirect.IsZero() {
+		upstream.wait = min(nextPollWait, max(minPollWait, time.Until(s.nextDirect)))
+	}
 	var lost []bergamotdale.Member
 	for _, m := range upstream.routers {
 		request := Request{After: after, WaitMS: upstream.wait.Milliseconds(), MaxHops: upstream.maxHops}
@@ -154,6 +163,7 @@
 		default:
 			s.avoidObserver(m.ID)
 		}
+		upstream.wait = min(upstream.wait, nextPollWait)
 	}
 	if len(lost) > 0 {
 		if wait := s.untilDirect(upstream.isObserver); wait > 0 {
