--- a/server/server.go
+++ b/server/server.go
@@ -1,6 +1,7 @@
 // Package server runs an HTTP server as one actor of a run group of
 // github.com/oklog/run: Run serves, and Interrupt ends it when another actor
-// has returned. Shutdown lets the requests in progress finish first, for a
+// has returned. Shutdown lets the requests in progress finish first, and Drain also
+// answers those that arrive in the meantime, for a
 // planned stop.
 package server
 
