--- a/server/conn.go
+++ b/server/conn.go
@@ -34,6 +34,8 @@
 	// answering is set once the handler was called or a response was begun, and reset
 	// after the response.
 	answering bool
+	// restSince is the time of the last response, or of the accept before it.
+	restSince time.Time
 	// ended is set by end, only while begun is false. Nothing is read afterwards.
 	ended bool
 	// closed is set by the first Close.
@@ -110,6 +112,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.answering = false, false
+	c.restSince = time.Now()
+}
+
+// atRestSince returns since when no request has been in progress on the connection. It
+// returns false if one is, and for connections that end does not end.
+func (c *conn) atRestSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restSince, !c.begun && !c.ended && !c.isHTTP2()
 }
 
 // hasBegun reports whether a byte of a request was read that has no response yet.
@@ -128,15 +139,16 @@
 
 func (c *conn) isHTTP2() bool { return bytes.Equal(c.prefix, http2Preface) }
 
-// end ends the connection if no byte of a request was read since the last response.
-// HTTP/2 connections stay.
-func (c *conn) end() {
+// end ends the connection if no byte of a request was read since the last response, and
+// reports whether it did. HTTP/2 connections stay.
+func (c *conn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.begun || c.ended || c.isHTTP2() {
-		return
+		return false
 	}
 	c.ended = true
 	// A read that waits returns.
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
--- a/server/listener.go
+++ b/server/listener.go
@@ -18,6 +18,10 @@
 	// handshake has begun. A client may send its request before the last packet of the
 	// handshake arrives. TCP retransmits a lost one after 0.2 to 0.4 s.
 	handshakeTime = 500 * time.Millisecond
+	// minAcceptPause and maxAcceptPause bound the pause after a transient error of
+	// accept(2), which doubles each time.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 100 * time.Millisecond
 	// noInterface is the index of a network interface that does not exist.
 	noInterface = math.MaxInt32
 )
@@ -34,7 +38,9 @@
 type drainingListener struct {
 	tcpListener
 	// admit is called with each accepted connection and returns the one to serve.
-	admit    func(*net.TCPConn) net.Conn
+	admit func(*net.TCPConn) net.Conn
+	// recover is called when the system has no resources for a connection.
+	recover  func(error)
 	accepted chan net.Conn
 	// done is closed when no further connection follows, with the reason in err.
 	done chan struct{}
@@ -42,22 +48,30 @@
 }
 
 // newDrainingListener starts to accept connections from the listener.
-func newDrainingListener(l tcpListener, admit func(*net.TCPConn) net.Conn) *drainingListener {
-	d := &drainingListener{tcpListener: l, admit: admit, accepted: make(chan net.Conn, backlog), done: make(chan struct{})}
+func newDrainingListener(l tcpListener, admit func(*net.TCPConn) net.Conn, recover func(error)) *drainingListener {
+	d := &drainingListener{tcpListener: l, admit: admit, recover: recover, accepted: make(chan net.Conn, backlog), done: make(chan struct{})}
 	go d.acceptAll()
 	return d
 }
 
-// acceptAll accepts connections until the listener is closed or its deadline has
-// passed.
+// acceptAll accepts connections until the listener is closed, its deadline has passed
+// or its socket is unusable.
 func (d *drainingListener) acceptAll() {
 	defer close(d.done)
+	pause := time.Duration(0)
 	for {
 		conn, err := d.tcpListener.Accept()
+		if isTransient(err) {
+			d.recover(err)
+			pause = min(max(minAcceptPause, 2*pause), maxAcceptPause)
+			time.Sleep(pause)
+			continue
+		}
 		if err != nil {
 			d.err = errors.Trace(err)
 			return
 		}
+		pause = 0
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			conn = d.admit(tcp)
 		}
@@ -65,6 +79,22 @@
 	}
 }
 
+// isTransient reports whether a later call of accept(2) can succeed. The system may be
+// out of descriptors or memory, and Linux passes on the network errors of a connection
+// that has ended before it was accepted.
+func isTransient(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.ECONNABORTED, syscall.ECONNRESET,
+		syscall.EPERM, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH,
+		syscall.ENONET, syscall.EOPNOTSUPP,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // Accept implements net.Listener.
 func (d *drainingListener) Accept() (net.Conn, error) {
 	select {
--- a/server/server.go
+++ b/server/server.go
@@ -31,6 +31,9 @@
 	// firstRequestTime is how long Drain waits for the first request on a connection.
 	// TCP retransmits a lost packet after 0.2 to 0.4 s.
 	firstRequestTime = 500 * time.Millisecond
+	// recoveredConns is the number of connections that are ended at once when the process
+	// has no descriptor for another one.
+	recoveredConns = 16
 	// drainPollInterval is the time between two checks of Drain.
 	drainPollInterval = 10 * time.Millisecond
 	// idleTimeout is longer than the time for which well-behaved clients keep an
@@ -78,7 +81,7 @@
 	}
 	s := &Server{name: name, listener: listener, logger: logger, closed: make(chan struct{}), conns: map[*conn]http.ConnState{}}
 	if tcp, ok := listener.(tcpListener); ok {
-		s.listener = newDrainingListener(tcp, s.admit)
+		s.listener = newDrainingListener(tcp, s.admit, s.recoverDescriptors)
 	}
 	// The gRPC clients of operators need HTTP/2 without TLS.
 	protocols := &http.Protocols{}
@@ -115,13 +118,39 @@
 
 // admit records a connection that was accepted.
 func (s *Server) admit(tcp *net.TCPConn) net.Conn {
-	c := &conn{TCPConn: tcp}
+	c := &conn{TCPConn: tcp, restSince: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = http.StateNew
 	return c
 }
 
+// recoverDescriptors ends the connections that have been at rest for longest, after a
+// connection could not be accepted.
+func (s *Server) recoverDescriptors(err error) {
+	s.mu.Lock()
+	ended := 0
+	for ended < recoveredConns && s.endOldest() {
+		ended++
+	}
+	s.mu.Unlock()
+	s.logger.Warn("failed to accept a connection, ended those longest at rest", zap.String("server", s.name), zap.Int("ended", ended), zap.Error(err))
+}
+
+// endOldest ends the connection that has been at rest for longest, and reports whether
+// there was one. The lock is held.
+func (s *Server) endOldest() bool {
+	var oldest *conn
+	var since time.Time
+	limit := time.Now().Add(-firstRequestTime)
+	for c := range s.conns {
+		if t, ok := c.atRestSince(); ok && t.Before(limit) && (oldest == nil || t.Before(since)) {
+			oldest, since = c, t
+		}
+	}
+	return oldest != nil && oldest.end()
+}
+
 // recordState records the state of a connection.
 func (s *Server) recordState(open net.Conn, state http.ConnState) {
 	c, ok := open.(*conn)
