server, budgeter: a router's connections have a bound that follows from its descriptors

Callers: without a bound, idle connections of clients take the descriptors that requests need towards endpoints, so requests fail that could be served.

Cause: nothing counted connections.

At the bound a new connection ends the one longest at rest, between two requests and with 408. If a request is in progress on each, the new one is refused at once with 503 and code 311 (not run, Retry-After 0.25 s). The dialer closes the idle connection that expires first.

--- a/code.go
+++ b/code.go
@@ -59,6 +59,8 @@
 	CodeCrashInDoubt     Code = 308
 	CodeVersionUnknown   Code = 309
 	CodeVersionGone      Code = 310
+	// CodeTooManyConnections is that of a request on a connection in excess.
+	CodeTooManyConnections Code = 311
 )
 
 // Codes of calls that may be executed at most once.
@@ -121,6 +123,7 @@
 	CodeCrashInDoubt:         {"crash-in-doubt", http.StatusServiceUnavailable, true},
 	CodeVersionUnknown:       {"version-unknown", http.StatusServiceUnavailable, false},
 	CodeVersionGone:          {"version-gone", http.StatusServiceUnavailable, false},
+	CodeTooManyConnections:   {"too-many-connections", http.StatusServiceUnavailable, true},
 	CodeInProgress:           {"in-progress", http.StatusConflict, true},
 	CodeOutcomeUnknown:       {"outcome-unknown", http.StatusConflict, false},
 	CodeStoreUnavailable:     {"store-unavailable", http.StatusServiceUnavailable, true},
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -13,6 +13,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,8 +39,8 @@
 	// idleMargin is how long before the endpoint's idle timeout a connection is
 	// no longer reused, because the endpoint may close it at any moment then.
 	idleMargin = 500 * time.Millisecond
-	// maxIdle bounds the idle connections to one endpoint.
-	maxIdle = 16
+	// maxIdlePerEndpoint bounds the idle connections to one endpoint.
+	maxIdlePerEndpoint = 16
 	// DefaultMaxHead is the default of Dialer.MaxHead in bytes.
 	DefaultMaxHead = 16 << 10
 	// bufferSize is the size of a read buffer in bytes. It is large enough for
@@ -91,6 +92,8 @@
 	// MaxHead is the largest size in bytes of the headers of a response, with the
 	// informational responses before it. Zero selects DefaultMaxHead.
 	MaxHead int
+	// MaxIdle bounds the idle connections to all endpoints. Zero means no bound.
+	MaxIdle int
 	// Elapsed returns a monotonic time. It should advance while the VM is suspended:
 	// an endpoint that closed an idle connection meanwhile would lose the next
 	// request on it. Nil selects the monotonic clock of package time.
@@ -99,6 +102,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one at the end.
 	idle map[string][]*Conn
+	// idleCount is the number of connections in idle.
+	idleCount int
 
 	// probes merges concurrent probes of the same address.
 	probes singleflight.Group
@@ -197,6 +202,7 @@
 	}
 	c := conns[len(conns)-1]
 	d.idle[address] = conns[:len(conns)-1]
+	d.idleCount--
 	return c
 }
 
@@ -218,7 +224,8 @@
 }
 
 // putIdle keeps a connection for reuse after a complete exchange, or closes it if
-// there are maxIdle connections already. timeout is how long the endpoint keeps
+// there are maxIdlePerEndpoint to its endpoint already. At MaxIdle it closes another one,
+// which would expire first. timeout is how long the endpoint keeps
 // an idle connection open, or zero if it does not say.
 func (d *Dialer) putIdle(c *Conn, timeout time.Duration) {
 	if timeout == 0 {
@@ -240,11 +247,29 @@
 	if d.idle == nil {
 		d.idle = map[string][]*Conn{}
 	}
-	if len(d.idle[c.address]) >= maxIdle {
+	if len(d.idle[c.address]) >= maxIdlePerEndpoint {
 		c.Close()
 		return
 	}
 	d.idle[c.address] = append(d.idle[c.address], c)
+	if d.idleCount++; d.MaxIdle > 0 && d.idleCount > d.MaxIdle {
+		d.closeFirstToExpire()
+	}
+}
+
+// closeFirstToExpire closes the idle connection that expires first. The lock is held.
+func (d *Dialer) closeFirstToExpire() {
+	var first *Conn
+	for _, conns := range d.idle {
+		for _, c := range conns {
+			if first == nil || c.expires < first.expires {
+				first = c
+			}
+		}
+	}
+	d.idle[first.address] = slices.DeleteFunc(d.idle[first.address], func(c *Conn) bool { return c == first })
+	d.idleCount--
+	first.Close()
 }
 
 // Release keeps a connection for reuse that was used only by Fetch.
@@ -256,6 +281,7 @@
 	d.mu.Lock()
 	conns := d.idle[address]
 	delete(d.idle, address)
+	d.idleCount -= len(conns)
 	d.mu.Unlock()
 	for _, c := range conns {
 		c.Close()
@@ -283,6 +309,7 @@
 			d.idle[address] = kept
 		}
 	}
+	d.idleCount -= len(expired)
 	d.mu.Unlock()
 	for _, c := range expired {
 		c.Close()
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -222,3 +222,34 @@
 	assert.Assert(t, errors.As(err, &failure))
 	assert.Assert(t, !failure.Sent)
 }
+
+// Guards against idle connections to many endpoints that together take the descriptors of
+// the process: at MaxIdle the one that expires first is closed.
+func TestMaxIdleOfAllEndpoints(t *testing.T) {
+	const maxIdle, endpoints = 3, 5
+	now := time.Duration(0)
+	d := &dialer.Dialer{MaxIdle: maxIdle, Elapsed: func() time.Duration { return now }}
+	var addresses []string
+	for range endpoints {
+		addresses = append(addresses, serve(t, func(_, _ int, c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") }))
+	}
+	for _, address := range addresses {
+		now += time.Millisecond
+		_, _, err := exchange(t, d, address)
+		assert.NilError(t, err)
+	}
+	reused := 0
+	for n := range addresses {
+		address := addresses[len(addresses)-1-n]
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		c, err := d.Get(ctx, address)
+		cancel()
+		assert.NilError(t, err)
+		if c.Reused() {
+			reused++
+			assert.Assert(t, n < maxIdle, "a connection that expires first was kept")
+		}
+		c.Close()
+	}
+	assert.Equal(t, reused, maxIdle)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
+	"github.com/bergamotdale/bergamotdale/budgeter"
 	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/exchanger"
@@ -95,6 +96,7 @@
 	relayer     *relayer.Relayer
 	meter       *meter.Meter
 	selfMonitor *selfmonitor.Monitor
+	descriptors budgeter.Descriptors
 
 	// stopping is set once a planned stop has begun, and refusing once new
 	// requests are refused. activeRequests counts the client requests in
@@ -158,7 +160,15 @@
 		return errors.Trace(err)
 	}
 	g.meter = metrics
-	g.tracker, g.dialer = tracker.New(), &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), Elapsed: g.Elapsed}
+	descriptors, err := descriptorLimit(g.Settings.Descriptors)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	g.descriptors = budgeter.DivideDescriptors(descriptors)
+	g.Logger.Info("descriptors divided", zap.Int("limit", descriptors), zap.Int("clients", g.descriptors.Clients),
+		zap.Int("idle-endpoints", g.descriptors.IdleEndpoints))
+	g.tracker = tracker.New()
+	g.dialer = &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
@@ -205,23 +215,23 @@
 	}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	g.relayer = &relayer.Relayer{
-		Abort:           g.aborted,
-		FailureDomain:   g.Settings.FailureDomain,
-		Dialect:         dialect,
-		Directory:       g.directory,
-		Tracker:         g.tracker,
-		Locator:         locator.New(),
-		Dialer:          g.dialer,
-		Gatekeeper:      g.gatekeeper,
-		Quarantine:      g.quarantine,
-		Pins:            g.pinner,
-		Health:          g.selfMonitor,
-		Clock:           g.clock,
-		Logger:          g.Logger.Named("relayer"),
-		StartupGate:     startupGate,
-		Routers:         func() int { return max(1, len(g.gossiper.Live())) },
-		Doubt:           g.doubt,
-		ShutdownRefusal: g.shutdownRefusal,
+		Abort:          g.aborted,
+		FailureDomain:  g.Settings.FailureDomain,
+		Dialect:        dialect,
+		Directory:      g.directory,
+		Tracker:        g.tracker,
+		Locator:        locator.New(),
+		Dialer:         g.dialer,
+		Gatekeeper:     g.gatekeeper,
+		Quarantine:     g.quarantine,
+		Pins:           g.pinner,
+		Health:         g.selfMonitor,
+		Clock:          g.clock,
+		Logger:         g.Logger.Named("relayer"),
+		StartupGate:    startupGate,
+		Routers:        func() int { return max(1, len(g.gossiper.Live())) },
+		Doubt:          g.doubt,
+		ProcessRefusal: g.processRefusal,
 		OnFinished: func(r relayer.Report) {
 			g.meter.RecordRequest(string(r.Kind), r.Outcome, r.Status, r.TimeToFirstByte, r.Total)
 		},
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -41,6 +41,7 @@
 		}
 		servers = append(servers, srv)
 	}
+	servers[0].SetMaxConns(g.descriptors.Clients)
 	return servers, nil
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,15 +40,23 @@
 	// stoppingRetryAfter is the Retry-After time of a refusal by a stopping
 	// router. It is short, since another router can take the request at once.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// excessRetryAfter is that of a refusal on a connection in excess. Another router is
+	// likely to have room.
+	excessRetryAfter = 250 * time.Millisecond
 )
 
-// shutdownRefusal returns the refusal for new requests once a planned stop no
-// longer accepts them, and nil before.
-func (g *Gateway) shutdownRefusal() *bergamotdale.Refusal {
-	if !g.refusing.Load() {
+// processRefusal returns the refusal for a request on a connection in excess, and for all
+// once a planned stop no longer accepts them, else nil.
+func (g *Gateway) processRefusal(ctx context.Context) *bergamotdale.Refusal {
+	switch {
+	case g.refusing.Load():
+		return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping").After(stoppingRetryAfter)
+	case server.IsExcess(ctx):
+		return bergamotdale.Refuse(bergamotdale.CodeTooManyConnections, "this router serves %d connections already, each with a request in progress",
+			g.descriptors.Clients).After(excessRetryAfter)
+	default:
 		return nil
 	}
-	return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping").After(stoppingRetryAfter)
 }
 
 // countActive wraps a handler and counts its requests in progress. During a planned
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -30,6 +30,9 @@
 	LogLevel string   `yaml:"log-level" oneof:"debug info warn error"`
 	// Memory is the part of the VM's memory that this process may use.
 	Memory Size `yaml:"memory" min:"32MiB" max:"1024GiB"`
+	// Descriptors is the number of descriptors that this process may use. Zero, and a
+	// larger number than the resource limit, select that limit. A change needs a restart.
+	Descriptors int `yaml:"descriptors" min:"0" max:"1048576"`
 	// StopDeadline is the time after SIGTERM at which the process is killed.
 	StopDeadline time.Duration `yaml:"stop-deadline" min:"1s" max:"24h"`
 	// Placement is the balancer.Policy that selects the endpoint of a request.
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -302,11 +302,11 @@
 	r := &relayer.Relayer{
 		Dialect: testDialect{}, Directory: directory, Tracker: endpointTracker, Locator: locator.New(), Dialer: &dialer.Dialer{}, Gatekeeper: gatekeeper.New(clock),
 		Quarantine: noQuarantine{}, Pins: pins, Clock: clock, Logger: zap.NewNop(),
-		Health:          &selfmonitor.Monitor{Clock: clock, Logger: zap.NewNop()},
-		Routers:         func() int { return 1 },
-		ShutdownRefusal: func() *bergamotdale.Refusal { return nil },
-		OnFinished:      func(relayer.Report) {},
-		StartupGate:     relayer.NewStartupGate(time.Minute),
+		Health:         &selfmonitor.Monitor{Clock: clock, Logger: zap.NewNop()},
+		Routers:        func() int { return 1 },
+		ProcessRefusal: func(context.Context) *bergamotdale.Refusal { return nil },
+		OnFinished:     func(relayer.Report) {},
+		StartupGate:    relayer.NewStartupGate(time.Minute),
 	}
 	pins.Ask = r.AskIncarnation
 	r.SetLimits(relayer.Limits{MaxKeyAge: time.Minute, LoadMultiple: 2, RetryRatio: 0.2, RetrySlack: 50})
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return bergamotdale.Refuse(bergamotdale.CodeInvalidRequest, "%v", err)
 	}
-	if refusal := r.ShutdownRefusal(); refusal != nil {
+	if refusal := r.ProcessRefusal(j.request.Context()); refusal != nil {
 		return refusal
 	}
 	screeningState := r.screeningState()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -159,9 +159,9 @@
 	StartupGate *StartupGate
 	// Routers returns the number of live routers, at least 1.
 	Routers func() int
-	// ShutdownRefusal returns a refusal for new requests while the router shuts
-	// down, else nil.
-	ShutdownRefusal func() *bergamotdale.Refusal
+	// ProcessRefusal returns a refusal for a new request if this process takes none, such
+	// as while it shuts down, else nil.
+	ProcessRefusal func(context.Context) *bergamotdale.Refusal
 	// Abort is done when the router ends the requests in progress, at the deadline of a
 	// planned stop. Nil means never.
 	Abort context.Context
--- a/server/conn.go
+++ b/server/conn.go
@@ -27,6 +27,8 @@
 // request is read and answered, or no byte of it is read and the client learns that.
 type conn struct {
 	*net.TCPConn
+	// excess is set if there were too many connections when this one was accepted.
+	excess bool
 
 	mu sync.Mutex
 	// begun is set once a byte of a request was read, and reset after the response.
@@ -139,6 +141,12 @@
 
 func (c *conn) isHTTP2() bool { return bytes.Equal(c.prefix, http2Preface) }
 
+func (c *conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // end ends the connection if no byte of a request was read since the last response, and
 // reports whether it did. HTTP/2 connections stay.
 func (c *conn) end() bool {
--- a/server/descriptors_test.go
+++ b/server/descriptors_test.go
@@ -95,3 +95,53 @@
 	assert.NilError(t, err)
 	checkAnswer(t, recentReader, http.StatusOK, "ok")
 }
+
+// Guards against connections without a bound, which take the descriptors that requests
+// need towards endpoints: a new one replaces the one longest at rest. With a request in
+// progress on each, the new one gets an answer at once that it is not served.
+func TestServerBoundsConnections(t *testing.T) {
+	const limit = 4
+	const restTime = 600 * time.Millisecond
+	listener := listen(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, _ := start(t, listener, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case server.IsExcess(r.Context()):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case r.URL.Path == "/long":
+			started <- struct{}{}
+			<-release
+			answerOK(w, r)
+		default:
+			answerOK(w, r)
+		}
+	})
+	s.SetMaxConns(limit)
+	var readers []*bufio.Reader
+	var conns []net.Conn
+	for range limit {
+		c, reader := keep(t, listener)
+		conns, readers = append(conns, c), append(readers, reader)
+	}
+	<-time.After(restTime)
+	replacing, replacingReader := keep(t, listener)
+	checkAnswer(t, readers[0], http.StatusRequestTimeout, "")
+	conns[0].Close()
+	conns[0], readers[0] = replacing, replacingReader
+	const long = "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, c := range conns {
+		_, err := io.WriteString(c, long)
+		assert.NilError(t, err)
+	}
+	for range limit {
+		<-started
+	}
+	refused := bufio.NewReader(connect(t, listener.Addr(), keptRequest))
+	checkAnswer(t, refused, http.StatusServiceUnavailable, "")
+	_, err := refused.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	close(release)
+	for _, reader := range readers {
+		checkAnswer(t, reader, http.StatusOK, "ok")
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -58,12 +58,26 @@
 	closed chan struct{}
 	// draining is set by Drain.
 	draining atomic.Bool
+	// maxConns is the largest number of connections that are served, zero for no limit.
+	maxConns atomic.Int64
 
 	mu sync.Mutex
 	// conns holds the open connections.
 	conns map[*conn]http.ConnState
 }
 
+// SetMaxConns sets the largest number of connections that are served, zero for no limit.
+// When it is reached, a new connection ends the one that has been at rest for longest. If
+// none is at rest, the new one is in excess; see IsExcess.
+func (s *Server) SetMaxConns(n int) { s.maxConns.Store(int64(n)) }
+
+// IsExcess reports whether the request with the context came on a connection in excess of
+// SetMaxConns. The handler should refuse it; the connection is closed afterwards.
+func IsExcess(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.excess
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
@@ -102,14 +116,14 @@
 	return s, nil
 }
 
-// handle wraps the handler. While the server drains each response closes its
-// connection.
+// handle wraps the handler. The responses on connections in excess, and all while the
+// server drains, close their connection.
 func (s *Server) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.answer()
 		}
-		if s.draining.Load() {
+		if s.draining.Load() || IsExcess(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -121,10 +135,25 @@
 	c := &conn{TCPConn: tcp, restSince: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if limit := int(s.maxConns.Load()); limit > 0 && len(s.conns) >= limit && s.countOpen() >= limit {
+		c.excess = !s.endOldest()
+	}
 	s.conns[c] = http.StateNew
 	return c
 }
 
+// countOpen returns the number of connections that have not been ended. The lock is
+// held.
+func (s *Server) countOpen() int {
+	n := 0
+	for c := range s.conns {
+		if !c.isEnded() {
+			n++
+		}
+	}
+	return n
+}
+
 // recoverDescriptors ends the connections that have been at rest for longest, after a
 // connection could not be accepted.
 func (s *Server) recoverDescriptors(err error) {
