server, platform: idle-timeout-ms of the configuration is obeyed

Change: the deadline of a connection that waits for its next request follows the configuration in force; without a value it is 90 s as before. Of the connections that make room for others, one that was answered just now comes before a refusal of the new one; without descriptors a sixteenth is ended at once, at least one.

Before: TestIdleTimeoutIsObeyed fails with the deadline left as net/http sets it (no end within 5 s).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,8 @@
 	meter       *meter.Meter
 	selfMonitor *selfmonitor.Monitor
 	descriptors budgeter.Descriptors
+	// clientServer serves clients.
+	clientServer *server.Server
 
 	// stopping is set once a planned stop has begun, and refusing once new
 	// requests are refused. activeRequests counts the client requests in
@@ -191,6 +193,7 @@
 			g.gatekeeper.UpdateEndpoints(s)
 			g.pinner.Observe(s)
 			if s.Table != nil {
+				g.clientServer.SetIdleTimeout(s.Table.Limits().IdleTimeout)
 				startupGate.Open()
 			}
 		},
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -41,7 +41,8 @@
 		}
 		servers = append(servers, srv)
 	}
-	servers[0].SetMaxConns(g.descriptors.Clients)
+	g.clientServer = servers[0]
+	g.clientServer.SetMaxConns(g.descriptors.Clients)
 	return servers, nil
 }
 
--- a/server/conn.go
+++ b/server/conn.go
@@ -29,6 +29,8 @@
 	*net.TCPConn
 	// excess is set if there were too many connections when this one was accepted.
 	excess bool
+	// idleTimeout returns how long the connection may be idle between two requests.
+	idleTimeout func() time.Duration
 
 	mu sync.Mutex
 	// begun is set once a byte of a request was read, and reset after the response.
@@ -36,6 +38,8 @@
 	// answering is set once the handler was called or a response was begun, and reset
 	// after the response.
 	answering bool
+	// answered is set once a response is complete.
+	answered bool
 	// restSince is the time of the last response, or of the accept before it.
 	restSince time.Time
 	// ended is set by end, only while begun is false. Nothing is read afterwards.
@@ -67,13 +71,17 @@
 	return c.TCPConn.Write(p)
 }
 
-// SetReadDeadline implements net.Conn. The deadline of an ended connection stays.
+// SetReadDeadline implements net.Conn. The deadline of an ended connection stays. That of
+// one that waits for its next request follows idleTimeout, which may change.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return nil
 	}
+	if c.answered && !c.begun && !t.IsZero() && !c.isHTTP2() {
+		t = c.restSince.Add(c.idleTimeout())
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
@@ -113,16 +121,17 @@
 func (c *conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun, c.answering = false, false
+	c.begun, c.answering, c.answered = false, false, true
 	c.restSince = time.Now()
 }
 
 // atRestSince returns since when no request has been in progress on the connection. It
-// returns false if one is, and for connections that end does not end.
+// returns false if one is or the first one may be on its way, and for connections that
+// end does not end.
 func (c *conn) atRestSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.restSince, !c.begun && !c.ended && !c.isHTTP2()
+	return c.restSince, !c.begun && !c.ended && !c.isHTTP2() && (c.answered || time.Since(c.restSince) > firstRequestTime)
 }
 
 // hasBegun reports whether a byte of a request was read that has no response yet.
--- a/server/server.go
+++ b/server/server.go
@@ -31,15 +31,15 @@
 	// firstRequestTime is how long Drain waits for the first request on a connection.
 	// TCP retransmits a lost packet after 0.2 to 0.4 s.
 	firstRequestTime = 500 * time.Millisecond
-	// recoveredConns is the number of connections that are ended at once when the process
-	// has no descriptor for another one.
-	recoveredConns = 16
+	// recoveredPart is the part of the connections, as a divisor, that are ended at once
+	// when the process has no descriptor for another one.
+	recoveredPart = 16
 	// drainPollInterval is the time between two checks of Drain.
 	drainPollInterval = 10 * time.Millisecond
-	// idleTimeout is longer than the time for which well-behaved clients keep an
+	// defaultIdleTimeout is longer than the time for which well-behaved clients keep an
 	// idle connection, so that the server rarely closes a connection that is
 	// about to be used.
-	idleTimeout = 90 * time.Second
+	defaultIdleTimeout = 90 * time.Second
 )
 
 // keepAlive makes TCP detect clients and peers that have disappeared while a
@@ -60,6 +60,8 @@
 	draining atomic.Bool
 	// maxConns is the largest number of connections that are served, zero for no limit.
 	maxConns atomic.Int64
+	// idleTimeout is a time.Duration.
+	idleTimeout atomic.Int64
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -71,6 +73,15 @@
 // none is at rest, the new one is in excess; see IsExcess.
 func (s *Server) SetMaxConns(n int) { s.maxConns.Store(int64(n)) }
 
+// SetIdleTimeout sets how long a connection may be idle between two requests, zero for a
+// default. It holds from the next response of each connection on.
+func (s *Server) SetIdleTimeout(d time.Duration) {
+	if d <= 0 {
+		d = defaultIdleTimeout
+	}
+	s.idleTimeout.Store(int64(d))
+}
+
 // IsExcess reports whether the request with the context came on a connection in excess of
 // SetMaxConns. The handler should refuse it; the connection is closed afterwards.
 func IsExcess(ctx context.Context) bool {
@@ -94,6 +105,7 @@
 		}
 	}
 	s := &Server{name: name, listener: listener, logger: logger, closed: make(chan struct{}), conns: map[*conn]http.ConnState{}}
+	s.SetIdleTimeout(0)
 	if tcp, ok := listener.(tcpListener); ok {
 		s.listener = newDrainingListener(tcp, s.admit, s.recoverDescriptors)
 	}
@@ -105,7 +117,7 @@
 		Handler:           s.handle(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       defaultIdleTimeout,
 		Protocols:         protocols,
 		ErrorLog:          zap.NewStdLog(logger.Named(name)),
 		ConnState:         s.recordState,
@@ -132,7 +144,7 @@
 
 // admit records a connection that was accepted.
 func (s *Server) admit(tcp *net.TCPConn) net.Conn {
-	c := &conn{TCPConn: tcp, restSince: time.Now()}
+	c := &conn{TCPConn: tcp, idleTimeout: func() time.Duration { return time.Duration(s.idleTimeout.Load()) }, restSince: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if limit := int(s.maxConns.Load()); limit > 0 && len(s.conns) >= limit && s.countOpen() >= limit {
@@ -158,8 +170,8 @@
 // connection could not be accepted.
 func (s *Server) recoverDescriptors(err error) {
 	s.mu.Lock()
-	ended := 0
-	for ended < recoveredConns && s.endOldest() {
+	ended, wanted := 0, max(1, len(s.conns)/recoveredPart)
+	for ended < wanted && s.endOldest() {
 		ended++
 	}
 	s.mu.Unlock()
@@ -171,9 +183,8 @@
 func (s *Server) endOldest() bool {
 	var oldest *conn
 	var since time.Time
-	limit := time.Now().Add(-firstRequestTime)
 	for c := range s.conns {
-		if t, ok := c.atRestSince(); ok && t.Before(limit) && (oldest == nil || t.Before(since)) {
+		if t, ok := c.atRestSince(); ok && (oldest == nil || t.Before(since)) {
 			oldest, since = c, t
 		}
 	}
--- a/traffic.go
+++ b/traffic.go
@@ -63,10 +63,12 @@
 	CopiesCache bool
 }
 
-// TrafficLimits holds the maximum sizes of a request, in bytes.
+// TrafficLimits holds the limits of clients: the maximum sizes of a request, in bytes,
+// and how long a connection may stay idle between two requests, zero for a default.
 type TrafficLimits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // WorkspaceKeys holds the API keys of a workspace.
