--- a/server/conn.go
+++ b/server/conn.go
@@ -33,7 +33,8 @@
 	idleTimeout func() time.Duration
 
 	mu sync.Mutex
-	// begun is set once a byte of a request was read, and reset after the response.
+	// begun is set once a byte of a request was read, or its handler was called because
+	// it had been read with the one before it, and reset after the response.
 	begun bool
 	// answering is set once the handler was called or a response was begun, and reset
 	// after the response.
@@ -114,7 +115,7 @@
 func (c *conn) answer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answering = true
+	c.begun, c.answering = true, true
 }
 
 // rest records that the response is complete.
--- a/server/descriptors_test.go
+++ b/server/descriptors_test.go
@@ -145,3 +145,28 @@
 		checkAnswer(t, reader, http.StatusOK, "ok")
 	}
 }
+
+// Guards against a request that is cut because it came together with the one before it:
+// the connection has a request in progress, though no byte was read since the response.
+func TestPipelinedRequestIsInProgress(t *testing.T) {
+	listener := listen(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, _ := start(t, listener, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			started <- struct{}{}
+			select {
+			case <-release:
+			case <-r.Context().Done():
+				t.Error("the request was cancelled")
+			}
+		}
+		answerOK(w, r)
+	})
+	s.SetMaxConns(1)
+	reader := bufio.NewReader(connect(t, listener.Addr(), keptRequest+"GET /long HTTP/1.1\r\nHost: h\r\n\r\n"))
+	<-started
+	checkAnswer(t, reader, http.StatusOK, "ok")
+	checkAnswer(t, bufio.NewReader(connect(t, listener.Addr(), keptRequest)), http.StatusOK, "ok")
+	close(release)
+	checkAnswer(t, reader, http.StatusOK, "ok")
+}
