--- /dev/null
+++ b/chronicler/chronicler.go
@@ -0,0 +1,286 @@
+// Package chronicler keeps in the store what has to outlive all routers at once: which
+// software versions of each service have served lately.
+//
+// A router that has just started cannot conclude from the registered endpoints which
+// versions have begun the streams that clients take up: a version may have left in the
+// meantime. So the versions are listed in one document of the store before new streams
+// begin at them, and dropped from it only after they have been gone for longer than a
+// stream lasts.
+//
+// Document and Observation decide; they do no I/O.
+package chronicler
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/subscriber"
+)
+
+const (
+	// versionsKey is the key of the Document below Chronicler.Prefix.
+	versionsKey = "versions"
+	// checkInterval is the time between two checks whether the document has to change.
+	checkInterval = 250 * time.Millisecond
+	// turnTime is how long each router waits, for each one before it in the order of
+	// their IDs, until it writes a change that is still missing.
+	turnTime = 300 * time.Millisecond
+	maxTurn  = 3 * time.Second
+	// callTimeout is the timeout of a call of the store.
+	callTimeout = time.Second
+	// writeDelay is the initial delay after a failed write, which doubles up to
+	// maxWriteDelay.
+	writeDelay    = 200 * time.Millisecond
+	maxWriteDelay = 5 * time.Second
+)
+
+// Chronicler keeps the records of the fleet. Exported fields are set before use.
+type Chronicler struct {
+	// Self is the ID of this router.
+	Self   string
+	Store  bergamotdale.RecordStore
+	Clock  bergamotdale.Clock
+	Logger *zap.Logger
+	// Prefix is the prefix of the keys of the records.
+	Prefix string
+	// Members returns the live routers, this one included.
+	Members func() []bergamotdale.Member
+	// Period returns the longest time for which a stream may be taken up.
+	Period func() time.Duration
+	// FirstStart is set if the fleet has never run before, so that no stream can have
+	// begun if the store has no document.
+	FirstStart bool
+
+	mu          sync.Mutex
+	observation Observation
+	// document is the latest one that was read or written, at revision; nil for none. It
+	// is not known until isKnown is set.
+	document *Document
+	revision int64
+	isKnown  bool
+	era      int64
+	// dueSince is the time since which the document has to change; zero if it has not.
+	dueSince time.Time
+
+	reads reads
+	// changed wakes Run up.
+	changed chan struct{}
+}
+
+// New returns a chronicler without records.
+func New(self string, clock bergamotdale.Clock) *Chronicler {
+	return &Chronicler{Self: self, Clock: clock, Logger: zap.NewNop(), changed: make(chan struct{}, 1)}
+}
+
+// Observe records the endpoints of a new state.
+func (c *Chronicler) Observe(state *subscriber.State) {
+	c.mu.Lock()
+	c.observation.Observe(c.Clock.Now(), state)
+	c.mu.Unlock()
+	c.wake()
+}
+
+// Apply applies what a router has read from the store or from another router.
+func (c *Chronicler) Apply(b bergamotdale.Batch) {
+	c.mu.Lock()
+	if b.Era > c.era {
+		// A later era may have an earlier revision of the document, or none.
+		c.era, c.revision, c.isKnown = b.Era, 0, false
+	}
+	if b.Entries != nil {
+		c.isKnown = true
+	}
+	for _, e := range b.Entries {
+		c.apply(e)
+	}
+	for _, change := range b.Changes {
+		if !change.Deleted {
+			c.apply(change.Entry)
+		}
+	}
+	c.mu.Unlock()
+	c.wake()
+}
+
+// apply applies the value of a key. The lock is held.
+func (c *Chronicler) apply(e bergamotdale.Entry) {
+	if e.Key != c.Prefix+versionsKey || e.Version <= c.revision {
+		return
+	}
+	d, err := parseDocument(e.Value)
+	if err != nil {
+		c.Logger.Warn("failed to decode the versions that have served", zap.Int64("revision", e.Version), zap.Error(err))
+		d = nil
+	}
+	c.document, c.revision, c.isKnown = d, e.Version, true
+}
+
+func parseDocument(data []byte) (*Document, error) {
+	d := &Document{}
+	if err := json.Unmarshal(data, d); err != nil {
+		return nil, errors.Annotate(err, "decoding the versions that have served")
+	}
+	return d, nil
+}
+
+func (c *Chronicler) wake() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// IsListed reports whether new streams may begin at the version, which the store lists.
+func (c *Chronicler) IsListed(service, version string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document.contains(service, version)
+}
+
+// IsMixed reports whether streams of several versions of the service may go on.
+func (c *Chronicler) IsMixed(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document != nil && len(c.document.Services[service]) > 1
+}
+
+// Run keeps the document up to date until the context is done.
+func (c *Chronicler) Run(ctx context.Context) error {
+	delay := writeDelay
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.changed:
+		case <-c.Clock.After(checkInterval):
+		}
+		next, revision, due := c.due()
+		if !due {
+			continue
+		}
+		if err := c.write(ctx, next, revision); err != nil {
+			c.Logger.Warn("failed to write the versions that have served", zap.Duration("retry-after", delay), zap.Error(err))
+			if bergamotdale.Wait(ctx, c.Clock, delay) != nil {
+				return ctx.Err()
+			}
+			delay = min(2*delay, maxWriteDelay)
+			continue
+		}
+		delay = writeDelay
+	}
+}
+
+// due returns the document that this router has to write now and the revision that it
+// replaces, and false if there is none or it is another router's turn.
+func (c *Chronicler) due() (Document, int64, bool) {
+	turn := c.turn()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	if !c.isKnown || c.observation.seenAt == nil {
+		return Document{}, 0, false
+	}
+	next := c.observation.Next(now, c.era, c.document, c.Period(), c.FirstStart && c.revision == 0)
+	if c.document != nil && next.equal(c.document) {
+		c.dueSince = time.Time{}
+		return Document{}, 0, false
+	}
+	if c.dueSince.IsZero() {
+		c.dueSince = now
+	}
+	return next, c.revision, now.Sub(c.dueSince) >= turn
+}
+
+// turn returns how long this router waits for others to write a change.
+func (c *Chronicler) turn() time.Duration {
+	before := 0
+	for _, m := range c.Members() {
+		if m.ID < c.Self && m.State != bergamotdale.MemberDraining {
+			before++
+		}
+	}
+	return min(time.Duration(before)*turnTime, maxTurn)
+}
+
+// write replaces the document of the revision. A conflict is no error: what another
+// router has written is read then.
+func (c *Chronicler) write(ctx context.Context, d Document, revision int64) error {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := c.Store.CompareAndSwap(ctx, c.Prefix+versionsKey, data, revision)
+	if errors.Is(err, bergamotdale.ErrConflict) {
+		_, err := c.reads.do(ctx, c.read)
+		return errors.Trace(err)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.Logger.Info("versions that have served recorded", zap.Any("services", d.Services), zap.Bool("complete", d.Complete), zap.Int64("revision", entry.Version))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if entry.Version > c.revision {
+		c.document, c.revision = &d, entry.Version
+	}
+	return nil
+}
+
+// Versions returns the versions of the service that the store lists, by a read that
+// begins now. complete is set if no other version has begun a stream that can still be
+// taken up. It returns an error if the store does not respond.
+func (c *Chronicler) Versions(ctx context.Context, service string) (versions []string, complete bool, err error) {
+	s, err := c.reads.do(ctx, c.read)
+	if err != nil {
+		return nil, false, errors.Trace(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.document == nil {
+		return nil, false, nil
+	}
+	listed := s.document.Services[service]
+	isUnlisted := func(v string) bool { return !slices.Contains(listed, v) }
+	complete = s.document.Complete && s.document.Era == s.era && !slices.ContainsFunc(c.observation.Versions(service), isUnlisted)
+	return listed, complete, nil
+}
+
+// snapshot is what a read of the records has returned.
+type snapshot struct {
+	era      int64
+	document *Document
+}
+
+// read reads the records from the store.
+func (c *Chronicler) read(ctx context.Context) (*snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	batch, err := c.Store.Range(ctx, c.Prefix, bergamotdale.Position{})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := &snapshot{era: batch.Era}
+	for _, e := range batch.Entries {
+		if e.Key == c.Prefix+versionsKey {
+			// One that cannot be decoded proves nothing.
+			s.document, _ = parseDocument(e.Value)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if batch.Era == c.era {
+		for _, e := range batch.Entries {
+			c.apply(e)
+		}
+	}
+	return s, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/budgeter"
+	"github.com/bergamotdale/bergamotdale/chronicler"
 	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/exchanger"
@@ -67,7 +68,7 @@
 	Settings *loader.GatewaySettings
 	Logger   *zap.Logger
 	// Adapters provides the implementations of bergamotdale.ChangeStore,
-	// Dialect, Layout, Peer and Clock; see NewAdapters.
+	// RecordStore, Dialect, Layout, Peer and Clock; see NewAdapters.
 	Adapters do.Injector
 	// Elapsed reads a clock that advances also while the VM is suspended, such
 	// as SinceBoot.
@@ -91,6 +92,7 @@
 	gossiper    *gossiper.Gossiper
 	quarantine  *isolator.Isolator
 	pinner      *pinner.Pinner
+	chronicler  *chronicler.Chronicler
 	exchanger   *exchanger.Exchanger
 	collector   *collector.Collector
 	relayer     *relayer.Relayer
@@ -131,7 +133,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
+	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
 		componentCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return component(componentCtx) }, func(error) { cancel() })
 	}
@@ -191,20 +193,30 @@
 		OnChange: func(s *subscriber.State) {
 			g.tracker.UpdateEndpoints(g.clock.Now(), s)
 			g.gatekeeper.UpdateEndpoints(s)
+			g.chronicler.Observe(s)
 			g.pinner.Observe(s)
 			if s.Table != nil {
 				g.clientServer.SetIdleTimeout(s.Table.Limits().IdleTimeout)
 				startupGate.Open()
 			}
 		},
-		OnBatch: func(b bergamotdale.Batch) { g.replica.Apply(b, g.source.Hops()) },
+		OnBatch: func(b bergamotdale.Batch) {
+			g.chronicler.Apply(b)
+			g.replica.Apply(b, g.source.Hops())
+		},
 	}
 	g.replica = replicator.NewReplica(g.directory.Age)
 	g.source.OnStoreLost = g.replica.MarkStoreLost
 	g.quarantine = isolator.New(g.self.ID, g.clock, g.gossiper)
 	g.quarantine.Logger = g.Logger.Named("isolator")
 	g.quarantine.OnPartEvent = func(e isolator.PartEvent) { g.meter.RecordPartEvent(string(e)) }
+	g.chronicler = chronicler.New(g.self.ID, g.clock)
+	g.chronicler.Store, g.chronicler.Logger = do.MustInvoke[bergamotdale.RecordStore](i), g.Logger.Named("chronicler")
+	g.chronicler.Prefix = do.MustInvoke[bergamotdale.StoreLayout](i).RecordPrefix
+	g.chronicler.Members, g.chronicler.Period = g.gossiper.Live, g.longestStream
+	g.chronicler.FirstStart = g.Settings.FirstStart
 	g.pinner = pinner.New(g.self.ID, g.clock)
+	g.pinner.Chronicle = g.chronicler
 	g.pinner.Peer, g.pinner.Logger = peer, g.Logger.Named("pinner")
 	g.pinner.Members, g.pinner.Joined = g.gossiper.Live, g.gossiper.Joined
 	g.pinner.MembersChanged, g.pinner.Age = g.gossiper.Subscribe(), g.directory.Age
@@ -244,6 +256,15 @@
 	return errors.Trace(g.registerGauges())
 }
 
+// longestStream returns the longest time for which a stream may be taken up.
+func (g *Gateway) longestStream() time.Duration {
+	longest := pinner.MaxStreamAge
+	if table := g.directory.State().Table; table != nil {
+		longest = max(longest, table.LongestStream())
+	}
+	return longest
+}
+
 // registerGauges registers the values that are read at each scrape of the metrics.
 func (g *Gateway) registerGauges() error {
 	for _, gauge := range []struct {
@@ -375,14 +396,21 @@
 	}
 }
 
+// Store is the platform's store, which the gateway follows and keeps its records in.
+type Store interface {
+	bergamotdale.ChangeStore
+	bergamotdale.RecordStore
+}
+
 // NewAdapters returns an injector with the adapters of a gateway process: the
 // given store, dialect and layout of the platform, the system clock and an HTTP
 // client for other routers.
-func NewAdapters(store bergamotdale.ChangeStore, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout) do.Injector {
+func NewAdapters(store Store, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout) do.Injector {
 	i := do.New()
 	do.ProvideValue[bergamotdale.Clock](i, bergamotdale.SystemClock{})
 	do.Provide(i, func(do.Injector) (bergamotdale.Peer, error) { return peerclient.New(), nil })
-	do.ProvideValue(i, store)
+	do.ProvideValue[bergamotdale.ChangeStore](i, store)
+	do.ProvideValue[bergamotdale.RecordStore](i, store)
 	do.ProvideValue(i, dialect)
 	do.ProvideValue(i, layout)
 	return i
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -26,8 +26,11 @@
 	Store string `yaml:"store" required:"true" format:"address"`
 	// Seeds are the addresses of routers that this one contacts first to join
 	// the fleet.
-	Seeds    []string `yaml:"seeds" format:"address"`
-	LogLevel string   `yaml:"log-level" oneof:"debug info warn error"`
+	Seeds []string `yaml:"seeds" format:"address"`
+	// FirstStart is set if the whole fleet starts for the first time: what the store does
+	// not have has never been.
+	FirstStart bool   `yaml:"first-start"`
+	LogLevel   string `yaml:"log-level" oneof:"debug info warn error"`
 	// Memory is the part of the VM's memory that this process may use.
 	Memory Size `yaml:"memory" min:"32MiB" max:"1024GiB"`
 	// Descriptors is the number of descriptors that this process may use. Zero, and a
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/hasher"
@@ -56,6 +57,18 @@
 // Limits returns the size limits for requests of clients.
 func (t *Table) Limits() bergamotdale.TrafficLimits { return t.config.Limits }
 
+// LongestStream returns the longest timeout of the routes whose streams may be taken up,
+// zero if there are none.
+func (t *Table) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for i := range t.config.Routes {
+		if r := &t.config.Routes[i]; r.Kind == bergamotdale.RouteStream && r.Resumable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Route returns the route of the host whose prefix is the longest one that the
 // path begins with, or nil. The host may include a port.
 func (t *Table) Route(host, path string) *bergamotdale.Route {
--- a/pinner/find.go
+++ b/pinner/find.go
@@ -18,6 +18,9 @@
 	joinLimit = 3 * time.Second
 )
 
+// listTimeout bounds the time for which a stream that is taken up waits for the store.
+const listTimeout = 400 * time.Millisecond
+
 // unconfirmedRetryAfter is the time after which a client may take a stream up again if
 // no router that may know its version has responded.
 const unconfirmedRetryAfter = 300 * time.Millisecond
@@ -32,8 +35,10 @@
 	MaxAge time.Duration
 }
 
-// Find returns the software that has begun a stream, or a refusal if that is unknown.
-// It asks the routers that store the pin of the stream.
+// Find returns the software that has begun a stream, or a refusal if that is unknown. It
+// asks the routers that store the pin of the stream. Without a pin, what the store lists
+// decides: the registered endpoints do not show which versions have left. Only if the
+// store does not respond, or does not know, what the routers have seen counts instead.
 func (p *Pinner) Find(ctx context.Context, q Query) (Pin, *bergamotdale.Refusal) {
 	if q.MaxAge <= 0 {
 		q.MaxAge = MaxStreamAge
@@ -43,11 +48,18 @@
 	p.maxAge = max(p.maxAge, min(q.MaxAge, maxLifetime))
 	own, found := p.table.Get(now, q.Stream)
 	seen := []Versions{p.history.Versions(now, q.Service)}
-	oldest := p.oldestEndpoint(now, q.Service)
+	mixed := p.isMixed(now, q.Service)
 	p.mu.Unlock()
 	if found {
 		return p.confirmed(ctx, own)
 	}
+	var listed listing
+	if !mixed {
+		// The store alone can tell, also while the other routers are not known yet.
+		if listed = p.list(ctx, q.Service); listed.isSole() {
+			return Pin{Service: q.Service, Version: listed.versions[0]}, nil
+		}
+	}
 	if !p.awaitJoined(ctx) {
 		return Pin{}, bergamotdale.Refuse(bergamotdale.CodePeer,
 			"this router has just started and knows no other that may know the software version of stream %q", q.Stream).
@@ -60,13 +72,18 @@
 		p.mu.Unlock()
 		return p.confirmed(ctx, *record)
 	}
-	if unanswered > 0 && len(fromPeers) == 0 {
+	if mixed {
+		listed = p.list(ctx, q.Service)
+	}
+	switch {
+	case listed.isSole():
+		return Pin{Service: q.Service, Version: listed.versions[0]}, nil
+	case len(fromPeers) == 0 && (unanswered > 0 || !listed.responded):
 		return Pin{}, bergamotdale.Refuse(bergamotdale.CodePeer,
-			"none of %d routers that may know the software version of stream %q has responded", unanswered, q.Stream).
+			"neither the store nor any of %d routers that may know the software version of stream %q has responded", unanswered, q.Stream).
 			After(unconfirmedRetryAfter)
 	}
-	version, sole := SoleVersion(append(seen, fromPeers...), q.MaxAge, oldest)
-	if sole {
+	if version, sole := SoleVersion(append(seen, fromPeers...), q.MaxAge); sole && listed.allows(version) {
 		return Pin{Service: q.Service, Version: version}, nil
 	}
 	if unanswered > 0 {
@@ -77,6 +94,34 @@
 		"service %s has or had several software versions, and it is not known which one began stream %q", q.Service, q.Stream)
 }
 
+// listing is what the store lists of the versions of a service.
+type listing struct {
+	// responded is set if the store has responded, and complete if no other version can
+	// have begun a stream.
+	responded, complete bool
+	versions            []string
+}
+
+// isSole reports whether a single version can have begun a stream.
+func (l listing) isSole() bool { return l.complete && len(l.versions) == 1 }
+
+// allows reports whether the listing does not contradict that the version is the only one.
+func (l listing) allows(version string) bool {
+	return len(l.versions) == 0 || len(l.versions) == 1 && l.versions[0] == version
+}
+
+// list reads from the store which versions have served.
+func (p *Pinner) list(ctx context.Context, service string) listing {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	versions, complete, err := p.Chronicle.Versions(ctx, service)
+	if err != nil {
+		p.Logger.Info("store does not tell which software versions have served", zap.String("service", service), zap.Error(err))
+		return listing{}
+	}
+	return listing{responded: true, complete: complete, versions: versions}
+}
+
 // awaitJoined waits until the other routers are known, and reports whether they are.
 func (p *Pinner) awaitJoined(ctx context.Context) bool {
 	for waited := time.Duration(0); !p.Joined(); waited += joinPoll {
@@ -90,21 +135,6 @@
 	return true
 }
 
-// oldestEndpoint returns the age of the oldest endpoint of a service by its
-// incarnation, zero if unknown. The lock is held.
-func (p *Pinner) oldestEndpoint(now time.Time, service string) time.Duration {
-	if p.state == nil {
-		return 0
-	}
-	oldest := time.Duration(0)
-	for _, e := range p.state.Endpoints(service) {
-		if e.Incarnation > 0 {
-			oldest = max(oldest, now.Sub(time.UnixMilli(e.Incarnation)))
-		}
-	}
-	return oldest
-}
-
 // ask asks routers for the pin of a stream until one has it. It returns the pin, or nil,
 // what the routers that responded have seen of the versions of the service, and how
 // many did not respond.
--- a/pinner/fleet_test.go
+++ b/pinner/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -39,8 +40,26 @@
 	running map[string]int64
 	// stateAge is the age of the state at all routers.
 	stateAge time.Duration
+	// listed holds the versions that the store lists, and complete whether these are all.
+	// The store is silent if storeLost is set.
+	listed              []string
+	complete, storeLost bool
 }
 
+// Versions implements pinner.Chronicle.
+func (f *fleet) Versions(context.Context, string) ([]string, bool, error) {
+	if f.storeLost {
+		return nil, false, errors.New("the store does not respond")
+	}
+	return f.listed, f.complete, nil
+}
+
+// IsListed implements pinner.Chronicle.
+func (f *fleet) IsListed(_, version string) bool { return slices.Contains(f.listed, version) }
+
+// IsMixed implements pinner.Chronicle.
+func (f *fleet) IsMixed(string) bool { return len(f.listed) > 1 }
+
 func newFleet(t *testing.T, size int) *fleet {
 	f := &fleet{
 		t: t, now: time.UnixMilli(1_800_000_000_000), pinners: map[string]*pinner.Pinner{}, unreachable: map[string]bool{},
@@ -118,6 +137,7 @@
 // start starts a router, which knows no pins.
 func (f *fleet) start(id string) *pinner.Pinner {
 	p := pinner.New(id, f)
+	p.Chronicle = f
 	p.Peer, p.Joined = f, func() bool { return true }
 	p.Ask = func(_ context.Context, e subscriber.Endpoint) (int64, error) {
 		f.mu.Lock()
--- a/pinner/history.go
+++ b/pinner/history.go
@@ -87,10 +87,8 @@
 
 // SoleVersion returns the version that must have begun a stream of at most the given
 // age whose pin is unknown, and false if there may be several. seen is what routers
-// have seen of the service, this one included, and oldest the age of its oldest
-// endpoint, which counts while no router has looked for long enough, as after a restart
-// of all.
-func SoleVersion(seen []Versions, age, oldest time.Duration) (string, bool) {
+// have seen of the service, this one included.
+func SoleVersion(seen []Versions, age time.Duration) (string, bool) {
 	sole, known := "", false
 	longest := time.Duration(0)
 	for _, v := range seen {
@@ -104,5 +102,5 @@
 		sole, known = v.Present[0], true
 		longest = max(longest, period)
 	}
-	return sole, known && max(longest, oldest) >= age
+	return sole, known && longest >= age
 }
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -67,13 +67,26 @@
 	Versions Versions `json:"versions"`
 }
 
+// Chronicle is what the store keeps of the versions that have served.
+type Chronicle interface {
+	// Versions returns the versions of a service that the store lists, by a read that
+	// begins now. complete is set if no other version has begun a stream that can still
+	// be taken up.
+	Versions(ctx context.Context, service string) (versions []string, complete bool, err error)
+	// IsListed reports whether the store lists the version, and IsMixed whether it lists
+	// several of the service.
+	IsListed(service, version string) bool
+	IsMixed(service string) bool
+}
+
 // Pinner stores and finds the pins of streams. Exported fields are set before Run.
 type Pinner struct {
 	// Self is the ID of this router.
-	Self   string
-	Peer   bergamotdale.Peer
-	Clock  bergamotdale.Clock
-	Logger *zap.Logger
+	Self      string
+	Peer      bergamotdale.Peer
+	Clock     bergamotdale.Clock
+	Logger    *zap.Logger
+	Chronicle Chronicle
 	// Members returns the live routers, this one included, and Joined reports whether
 	// they are known since the start.
 	Members func() []bergamotdale.Member
@@ -147,7 +160,7 @@
 	p.mu.Lock()
 	p.maxAge = max(p.maxAge, min(timeLeft, maxLifetime))
 	p.table.Put(p.Clock.Now(), record)
-	needed := p.history.IsMixed(p.Clock.Now(), pin.Service, p.maxAge)
+	needed := p.isMixed(p.Clock.Now(), pin.Service)
 	p.mu.Unlock()
 	if !needed {
 		return
@@ -167,6 +180,18 @@
 	p.awaitStored(ctx, stream, stored, calls)
 }
 
+// isMixed reports whether streams of several versions of the service may go on. The lock
+// is held.
+func (p *Pinner) isMixed(now time.Time, service string) bool {
+	return p.history.IsMixed(now, service, p.maxAge) || p.Chronicle.IsMixed(service)
+}
+
+// MayBegin reports whether a new stream may begin at the version: the store lists it, so
+// that it is known even if all routers are lost.
+func (p *Pinner) MayBegin(service, version string) bool {
+	return p.Chronicle.IsListed(service, version)
+}
+
 // awaitStored waits until one of the calls has stored the pin, all have failed or
 // storeWait has passed.
 func (p *Pinner) awaitStored(ctx context.Context, stream string, stored <-chan bool, calls int) {
@@ -290,7 +315,7 @@
 	p.mu.Lock()
 	now := p.Clock.Now()
 	for _, r := range p.table.Records(now) {
-		if !p.history.IsMixed(now, r.Service, p.maxAge) {
+		if !p.isMixed(now, r.Service) {
 			continue
 		}
 		for _, m := range p.holders(r, members, copies) {
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -169,12 +169,16 @@
 	f.advance(time.Hour)
 	f.kill("router-1")
 	f.checkFound("stream", "v1")
+	f.listed, f.complete = []string{"v1"}, true
 	for _, m := range f.members {
 		f.restart(m.ID)
 	}
 	f.checkFound("stream", "v1")
-	// Endpoints, too, have just started: no one can know.
-	f.setVersions("v1")
+	// The other routers are not known yet.
+	f.pinners["router-0"].Joined = func() bool { return false }
+	f.checkFound("stream", "v1")
+	// The store does not know either.
+	f.complete = false
 	for _, m := range f.members {
 		f.restart(m.ID)
 	}
@@ -184,6 +188,52 @@
 	f.checkFound("stream", "v1")
 }
 
+// Guards against the age of an endpoint as evidence: after a restart of all routers, old
+// endpoints of one version do not show that another one has not served beside them.
+func TestOldEndpointsProveNothing(t *testing.T) {
+	f := newFleet(t, 6)
+	f.advance(time.Hour)
+	for _, complete := range []bool{true, false} {
+		f.listed, f.complete = []string{"v1", "v2"}, complete
+		for _, m := range f.members {
+			f.restart(m.ID)
+		}
+		for _, m := range f.members {
+			_, refusal := f.find(m.ID, "stream")
+			assert.Assert(t, refusal != nil && refusal.Code == bergamotdale.CodeVersionUnknown, "%s: %v", m.ID, refusal)
+			assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeNotRun)
+		}
+	}
+}
+
+// Guards against a router that is out of step and decides alone: it takes the others for
+// gone, and the version that it knows for the only one.
+func TestRouterOutOfStepDoesNotDecideAlone(t *testing.T) {
+	f := newFleet(t, 6)
+	f.advance(time.Hour)
+	alone := f.pinners["router-5"]
+	delete(f.pinners, "router-5")
+	f.setVersions("v1", "v2")
+	f.pinners["router-5"] = alone
+	f.members = f.members[5:]
+	for name, test := range map[string]struct {
+		listed           []string
+		complete, silent bool
+	}{
+		"the store lists both":      {[]string{"v1", "v2"}, true, false},
+		"the store is silent":       {nil, false, true},
+		"the store lists another":   {[]string{"v2"}, true, false},
+		"incomplete, lists both":    {[]string{"v1", "v2"}, false, false},
+		"incomplete, lists another": {[]string{"v2"}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.listed, f.complete, f.storeLost = test.listed, test.complete, test.silent
+			found, refusal := f.find("router-5", "stream")
+			assert.Assert(t, refusal != nil || found.Version != "v1", "the stream goes on at v1")
+		})
+	}
+}
+
 // Guards against a stream that goes on at the version that is left when the other has
 // just gone, at routers that saw it and at one that has started since.
 func TestStreamIsRefusedAfterItsVersionHasGone(t *testing.T) {
--- a/pinner/table_test.go
+++ b/pinner/table_test.go
@@ -43,25 +43,23 @@
 	mixed := pinner.Versions{Present: []string{"v1", "v2"}, Changed: true}
 	long, short := time.Minute, time.Second
 	for name, test := range map[string]struct {
-		seen   []pinner.Versions
-		oldest time.Duration
-		want   string
+		seen []pinner.Versions
+		want string
 	}{
-		"nothing known":                           {nil, long, ""},
-		"no endpoint":                             {[]pinner.Versions{{}}, long, ""},
-		"one version for long":                    {[]pinner.Versions{sole("v1", long, false)}, 0, "v1"},
-		"one router has looked for long":          {[]pinner.Versions{sole("v1", short, false), sole("v1", long, false)}, 0, "v1"},
-		"no router has looked for long":           {[]pinner.Versions{sole("v1", short, false), sole("v1", short, false)}, 0, ""},
-		"none has, but an endpoint is old":        {[]pinner.Versions{sole("v1", short, false)}, long, "v1"},
-		"two versions":                            {[]pinner.Versions{mixed}, long, ""},
-		"two versions at another router":          {[]pinner.Versions{sole("v1", long, false), mixed}, long, ""},
-		"another version at another router":       {[]pinner.Versions{sole("v1", long, false), sole("v2", long, false)}, long, ""},
-		"another version has just gone":           {[]pinner.Versions{sole("v1", short, true)}, long, ""},
-		"one router has seen another version go":  {[]pinner.Versions{sole("v1", long, false), sole("v1", short, true)}, long, ""},
-		"another version has gone long ago":       {[]pinner.Versions{sole("v1", long, true)}, 0, "v1"},
-		"a router that knows no endpoint is left": {[]pinner.Versions{{}, sole("v1", long, false)}, 0, "v1"},
+		"nothing known":                           {nil, ""},
+		"no endpoint":                             {[]pinner.Versions{{}}, ""},
+		"one version for long":                    {[]pinner.Versions{sole("v1", long, false)}, "v1"},
+		"one router has looked for long":          {[]pinner.Versions{sole("v1", short, false), sole("v1", long, false)}, "v1"},
+		"no router has looked for long":           {[]pinner.Versions{sole("v1", short, false), sole("v1", short, false)}, ""},
+		"two versions":                            {[]pinner.Versions{mixed}, ""},
+		"two versions at another router":          {[]pinner.Versions{sole("v1", long, false), mixed}, ""},
+		"another version at another router":       {[]pinner.Versions{sole("v1", long, false), sole("v2", long, false)}, ""},
+		"another version has just gone":           {[]pinner.Versions{sole("v1", short, true)}, ""},
+		"one router has seen another version go":  {[]pinner.Versions{sole("v1", long, false), sole("v1", short, true)}, ""},
+		"another version has gone long ago":       {[]pinner.Versions{sole("v1", long, true)}, "v1"},
+		"a router that knows no endpoint is left": {[]pinner.Versions{{}, sole("v1", long, false)}, "v1"},
 	} {
-		version, known := pinner.SoleVersion(test.seen, maxAge, test.oldest)
+		version, known := pinner.SoleVersion(test.seen, maxAge)
 		assert.Equal(t, known, test.want != "", name)
 		if known {
 			assert.Equal(t, version, test.want, name)
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -281,6 +281,7 @@
 	endpointTracker := tracker.New()
 	clock := bergamotdale.SystemClock{}
 	pins := pinner.New("router", clock)
+	pins.Chronicle = emptyChronicle{}
 	pins.Members, pins.Joined = func() []bergamotdale.Member { return nil }, func() bool { return true }
 	startTime := time.Now()
 	ready := make(chan struct{}, 1)
@@ -338,3 +339,12 @@
 	data, err := io.ReadAll(resp.Body)
 	return response{status: resp.StatusCode, header: resp.Header, body: string(data), broken: err != nil}
 }
+
+// emptyChronicle lists nothing, as before the first write.
+type emptyChronicle struct{}
+
+func (emptyChronicle) Versions(context.Context, string) ([]string, bool, error) {
+	return nil, false, nil
+}
+func (emptyChronicle) IsListed(string, string) bool { return false }
+func (emptyChronicle) IsMixed(string) bool          { return false }
--- a/relayer/pin.go
+++ b/relayer/pin.go
@@ -85,10 +85,10 @@
 	return pin == nil || e.Version == pin.Version
 }
 
-// ofPin returns the endpoints at which the stream may go on.
+// ofPin returns the endpoints at which the stream may go on, or begin if it is new.
 func (j *job) ofPin(endpoints []subscriber.Endpoint) []subscriber.Endpoint {
 	if j.pin.Load() == nil {
-		return endpoints
+		return j.ofRecordedVersions(endpoints)
 	}
 	var chosen []subscriber.Endpoint
 	for _, e := range endpoints {
@@ -99,6 +99,28 @@
 	return chosen
 }
 
+// ofRecordedVersions returns the endpoints at which a new stream that can be taken up may
+// begin. If none of the usable ones is of a version at which it may, it may begin at any:
+// a version is recorded within moments.
+func (j *job) ofRecordedVersions(endpoints []subscriber.Endpoint) []subscriber.Endpoint {
+	route := j.verdict.Route
+	if route.Kind != bergamotdale.RouteStream || !route.Resumable {
+		return endpoints
+	}
+	now, usable := j.relayer.Clock.Now(), false
+	recorded := make([]subscriber.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if j.relayer.Pins.MayBegin(e.Service, e.Version) {
+			recorded = append(recorded, e)
+			usable = usable || e.Usable(now)
+		}
+	}
+	if !usable {
+		return endpoints
+	}
+	return recorded
+}
+
 // versionGone returns a refusal if no endpoint of the version that began the stream is
 // registered but those that leave, else nil.
 func (j *job) versionGone() *bergamotdale.Refusal {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -88,6 +88,8 @@
 	// the first event of a response. source is the endpoint if its incarnation is not
 	// certain. timeLeft is how long the client may take the stream up, zero if unknown.
 	Pin(ctx context.Context, stream string, pin pinner.Pin, source pinner.Source, timeLeft time.Duration)
+	// MayBegin reports whether a new stream may begin at the version.
+	MayBegin(service, version string) bool
 	// Find returns the software that began a stream, or a refusal if that is unknown.
 	Find(ctx context.Context, q pinner.Query) (pinner.Pin, *bergamotdale.Refusal)
 }
--- a/relayer/version_test.go
+++ b/relayer/version_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -99,8 +100,12 @@
 	refusal *bergamotdale.Refusal
 	queries chan pinner.Query
 	pinned  chan pinner.Pin
+	// listed holds the versions at which new streams may begin.
+	listed []string
 }
 
+func (p *fixedPins) MayBegin(_, version string) bool { return slices.Contains(p.listed, version) }
+
 func (p *fixedPins) Pin(_ context.Context, stream string, pin pinner.Pin, _ pinner.Source, _ time.Duration) {
 	if stream == "w/r0" {
 		p.pinned <- pin
--- a/server/listener.go
+++ b/server/listener.go
@@ -39,8 +39,8 @@
 	tcpListener
 	// admit is called with each accepted connection and returns the one to serve.
 	admit func(*net.TCPConn) net.Conn
-	// recover is called when the system has no resources for a connection.
-	recover  func(error)
+	// onError is called when the system has no resources for a connection.
+	onError  func(error)
 	accepted chan net.Conn
 	// done is closed when no further connection follows, with the reason in err.
 	done chan struct{}
@@ -48,8 +48,8 @@
 }
 
 // newDrainingListener starts to accept connections from the listener.
-func newDrainingListener(l tcpListener, admit func(*net.TCPConn) net.Conn, recover func(error)) *drainingListener {
-	d := &drainingListener{tcpListener: l, admit: admit, recover: recover, accepted: make(chan net.Conn, backlog), done: make(chan struct{})}
+func newDrainingListener(l tcpListener, admit func(*net.TCPConn) net.Conn, onError func(error)) *drainingListener {
+	d := &drainingListener{tcpListener: l, admit: admit, onError: onError, accepted: make(chan net.Conn, backlog), done: make(chan struct{})}
 	go d.acceptAll()
 	return d
 }
@@ -62,7 +62,7 @@
 	for {
 		conn, err := d.tcpListener.Accept()
 		if isTransient(err) {
-			d.recover(err)
+			d.onError(err)
 			pause = min(max(minAcceptPause, 2*pause), maxAcceptPause)
 			time.Sleep(pause)
 			continue
--- a/store.go
+++ b/store.go
@@ -121,6 +121,22 @@
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (Batch, error)
 }
 
+// RecordStore is a store in which the fleet keeps records of its own, below
+// StoreLayout.RecordPrefix.
+type RecordStore interface {
+	// Range is that of ChangeStore.
+	Range(ctx context.Context, prefix string, notBefore Position) (Batch, error)
+	// CompareAndSwap writes the value if the key still has the version. Version zero
+	// means that the key must not exist. It returns the written entry, or ErrConflict or
+	// ErrUnavailable; after ErrUnavailable the write may have been made.
+	CompareAndSwap(ctx context.Context, key string, value []byte, version int64) (Entry, error)
+	// GrantLease creates a lease that expires after ttl.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// PutWithLease writes a key and attaches it to the lease, so that it is deleted
+	// when the lease ends. It returns ErrNotFound if the lease has ended.
+	PutWithLease(ctx context.Context, key string, value []byte, id LeaseID) error
+}
+
 // StoreLayout holds the keys of the store that both the platform and the fleet use.
 type StoreLayout struct {
 	// ConfigKey is the key of the traffic configuration.
@@ -128,4 +144,6 @@
 	// EndpointPrefix is the prefix of the keys of endpoint records. The ID of the
 	// endpoint follows it.
 	EndpointPrefix string
+	// RecordPrefix is the prefix of the keys of the fleet's own records.
+	RecordPrefix string
 }
