--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -1,5 +1,6 @@
 // Package chronicler keeps in the store what has to outlive all routers at once: which
-// software versions of each service have served lately.
+// software versions of each service have served lately, and which of them began each
+// recent stream while there are several.
 //
 // A router that has just started cannot conclude from the registered endpoints which
 // versions have begun the streams that clients take up: a version may have left in the
@@ -7,18 +8,23 @@
 // begin at them, and dropped from it only after they have been gone for longer than a
 // stream lasts.
 //
-// Document and Observation decide; they do no I/O.
+// The routers send their new streams to a few of them, the scribes, which write those of
+// all in one document several times a second, under a lease that outlives the streams.
+//
+// Document, Observation and the documents of streams decide and hold data; they do no I/O.
 package chronicler
 
 import (
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/subscriber"
@@ -27,6 +33,8 @@
 const (
 	// versionsKey is the key of the Document below Chronicler.Prefix.
 	versionsKey = "versions"
+	// streamsKey is the prefix of the keys of streams below Chronicler.Prefix.
+	streamsKey = "streams/"
 	// checkInterval is the time between two checks whether the document has to change.
 	checkInterval = 250 * time.Millisecond
 	// turnTime is how long each router waits, for each one before it in the order of
@@ -50,8 +58,15 @@
 	Logger *zap.Logger
 	// Prefix is the prefix of the keys of the records.
 	Prefix string
+	Peer   bergamotdale.Peer
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// Pending returns some of the streams of this router that are not in the store, and
+	// Recorded is called when they are.
+	Pending  func(limit int) []Stream
+	Recorded func([]Stream)
+	// StreamTime returns for how long the store keeps a stream.
+	StreamTime func() time.Duration
 	// Period returns the longest time for which a stream may be taken up.
 	Period func() time.Duration
 	// FirstStart is set if the fleet has never run before, so that no stream can have
@@ -69,14 +84,23 @@
 	// dueSince is the time since which the document has to change; zero if it has not.
 	dueSince time.Time
 
-	reads reads
+	// found holds the streams of the latest read by hash, and foundAt when each was read
+	// first.
+	found map[uint64]foundStream
+
+	startedAt time.Time
+	reads     reads
+	scribe    scribe
 	// changed wakes Run up.
 	changed chan struct{}
 }
 
 // New returns a chronicler without records.
 func New(self string, clock bergamotdale.Clock) *Chronicler {
-	return &Chronicler{Self: self, Clock: clock, Logger: zap.NewNop(), changed: make(chan struct{}, 1)}
+	return &Chronicler{
+		Self: self, Clock: clock, Logger: zap.NewNop(), startedAt: clock.Now(), changed: make(chan struct{}, 1),
+		scribe: scribe{wake: make(chan struct{}, 1)},
+	}
 }
 
 // Observe records the endpoints of a new state.
@@ -151,8 +175,29 @@
 	return c.document != nil && len(c.document.Services[service]) > 1
 }
 
-// Run keeps the document up to date until the context is done.
+// Shared returns the batch without what followers do not need.
+func (c *Chronicler) Shared(b bergamotdale.Batch) bergamotdale.Batch {
+	isStream := func(key string) bool { return strings.HasPrefix(key, c.Prefix+streamsKey) }
+	if slices.ContainsFunc(b.Entries, func(e bergamotdale.Entry) bool { return isStream(e.Key) }) {
+		b.Entries = slices.DeleteFunc(slices.Clone(b.Entries), func(e bergamotdale.Entry) bool { return isStream(e.Key) })
+	}
+	if slices.ContainsFunc(b.Changes, func(e bergamotdale.Change) bool { return isStream(e.Key) }) {
+		b.Changes = slices.DeleteFunc(slices.Clone(b.Changes), func(e bergamotdale.Change) bool { return isStream(e.Key) })
+	}
+	return b
+}
+
+// Run keeps the records up to date until the context is done.
 func (c *Chronicler) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.runDocument(ctx) })
+	group.Go(func() error { return c.runRecorder(ctx) })
+	group.Go(func() error { return c.runScribe(ctx) })
+	return group.Wait()
+}
+
+// runDocument keeps the document up to date until the context is done.
+func (c *Chronicler) runDocument(ctx context.Context) error {
 	delay := writeDelay
 	for {
 		select {
@@ -235,23 +280,58 @@
 	return nil
 }
 
-// Versions returns the versions of the service that the store lists, by a read that
-// begins now. complete is set if no other version has begun a stream that can still be
-// taken up. It returns an error if the store does not respond.
-func (c *Chronicler) Versions(ctx context.Context, service string) (versions []string, complete bool, err error) {
+// Evidence is what the store shows of a stream and its service.
+type Evidence struct {
+	// Stream is nil if the stream is not in the store.
+	Stream *Stream
+	// Versions holds the versions of the service that have served, and Complete is set if no other
+	// version has begun a stream that can still be taken up.
+	Versions []string
+	Complete bool
+}
+
+// foundStream is a stream that was read from the store, and when it was first.
+type foundStream struct {
+	Stream
+	at time.Time
+}
+
+// Look returns what the store shows of a stream and its service, by a read that begins
+// now, unless an earlier one has shown the stream: that does not change. It returns an
+// error if the store does not respond.
+func (c *Chronicler) Look(ctx context.Context, stream, service string) (Evidence, error) {
+	if found := c.lookUp(stream); found != nil {
+		return Evidence{Stream: found}, nil
+	}
 	s, err := c.reads.do(ctx, c.read)
 	if err != nil {
-		return nil, false, errors.Trace(err)
+		return Evidence{}, errors.Trace(err)
+	}
+	e := Evidence{Stream: c.lookUp(stream)}
+	if s.document == nil {
+		return e, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.document == nil {
-		return nil, false, nil
+	e.Versions = s.document.Services[service]
+	isUnlisted := func(v string) bool { return !slices.Contains(e.Versions, v) }
+	e.Complete = s.document.Complete && s.document.Era == s.era && !slices.ContainsFunc(c.observation.Versions(service), isUnlisted)
+	return e, nil
+}
+
+// lookUp returns the stream if a read has shown it, else nil.
+func (c *Chronicler) lookUp(stream string) *Stream {
+	if stream == "" {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f, ok := c.found[HashStream(stream)]
+	if !ok {
+		return nil
 	}
-	listed := s.document.Services[service]
-	isUnlisted := func(v string) bool { return !slices.Contains(listed, v) }
-	complete = s.document.Complete && s.document.Era == s.era && !slices.ContainsFunc(c.observation.Versions(service), isUnlisted)
-	return listed, complete, nil
+	aged := f.aged(c.Clock.Now().Sub(f.at))
+	return &aged
 }
 
 // snapshot is what a read of the records has returned.
@@ -269,10 +349,18 @@
 		return nil, errors.Trace(err)
 	}
 	s := &snapshot{era: batch.Era}
+	var streams []Stream
 	for _, e := range batch.Entries {
-		if e.Key == c.Prefix+versionsKey {
+		switch {
+		case e.Key == c.Prefix+versionsKey:
 			// One that cannot be decoded proves nothing.
 			s.document, _ = parseDocument(e.Value)
+		case strings.HasPrefix(e.Key, c.Prefix+streamsKey):
+			some, err := decodeStreams(e.Value)
+			if err != nil {
+				c.Logger.Warn("failed to decode streams, ignoring them", zap.String("key", e.Key), zap.Error(err))
+			}
+			streams = append(streams, some...)
 		}
 	}
 	c.mu.Lock()
@@ -282,5 +370,32 @@
 			c.apply(e)
 		}
 	}
+	c.found = c.merge(streams)
 	return s, nil
 }
+
+// merge returns the streams of a read, with the time at which each was read first. The
+// lock is held.
+func (c *Chronicler) merge(streams []Stream) map[uint64]foundStream {
+	now := c.Clock.Now()
+	found := make(map[uint64]foundStream, len(streams))
+	contradicted := map[uint64]bool{}
+	for _, s := range streams {
+		other, twice := found[s.Hash]
+		if twice && (other.Service != s.Service || other.Version != s.Version) {
+			contradicted[s.Hash] = true
+		}
+		if twice && other.Endpoint == "" {
+			continue
+		}
+		f := foundStream{s, now}
+		if former, known := c.found[s.Hash]; known && former.Endpoint == s.Endpoint && former.Version == s.Version {
+			f = former
+		}
+		found[s.Hash] = f
+	}
+	for hash := range contradicted {
+		delete(found, hash)
+	}
+	return found
+}
--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -101,7 +101,8 @@
 		c := chronicler.New(m.ID, bergamotdale.SystemClock{})
 		c.Store, c.Prefix, c.FirstStart = store, prefix, first
 		c.Members = func() []bergamotdale.Member { return members }
-		c.Period = func() time.Duration { return period }
+		c.Period, c.StreamTime = func() time.Duration { return period }, func() time.Duration { return period }
+		c.Pending, c.Recorded = func(int) []chronicler.Stream { return nil }, func([]chronicler.Stream) {}
 		go func() { _ = c.Run(ctx) }()
 		all = append(all, c)
 	}
@@ -137,19 +138,19 @@
 	awaitListed(t, routers[0], "v1")
 	apply(t, store, routers, "v1")
 	assert.Equal(t, store.writeCount(), 1)
-	versions, complete, err := routers[2].Versions(context.Background(), service)
+	evidence, err := routers[2].Look(context.Background(), "stream", service)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, versions, []string{"v1"})
-	assert.Assert(t, complete)
+	assert.DeepEqual(t, evidence.Versions, []string{"v1"})
+	assert.Assert(t, evidence.Complete)
 	// Only the others see the next version.
 	apply(t, store, routers[1:], "v1", "v2")
 	awaitListed(t, routers[1], "v2")
 	assert.Assert(t, routers[1].IsMixed(service))
 	assert.Equal(t, store.writeCount(), 2)
 	// The first one has read it, but not yet the other version.
-	_, complete, err = routers[0].Versions(context.Background(), service)
+	evidence, err = routers[0].Look(context.Background(), "stream", service)
 	assert.NilError(t, err)
-	assert.Assert(t, complete && routers[0].IsMixed(service))
+	assert.Assert(t, evidence.Complete && routers[0].IsMixed(service))
 }
 
 // Guards against a silent store that is taken for one that lists nothing, and against a
@@ -161,12 +162,12 @@
 	awaitListed(t, routers[0], "v1")
 	store.setSilent(true)
 	routers[0].Observe(stateOf("v1", "v2"))
-	_, _, err := routers[0].Versions(context.Background(), service)
+	_, err := routers[0].Look(context.Background(), "stream", service)
 	assert.Assert(t, errors.Is(err, bergamotdale.ErrUnavailable), "%v", err)
 	store.setSilent(false)
 	// The endpoints show a version that the document lacks.
-	if _, complete, err := routers[0].Versions(context.Background(), service); err == nil && !routers[0].IsListed(service, "v2") {
-		assert.Assert(t, !complete)
+	if evidence, err := routers[0].Look(context.Background(), "stream", service); err == nil && !routers[0].IsListed(service, "v2") {
+		assert.Assert(t, !evidence.Complete)
 	}
 	awaitListed(t, routers[0], "v2")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,7 @@
 		},
 		OnBatch: func(b bergamotdale.Batch) {
 			g.chronicler.Apply(b)
-			g.replica.Apply(b, g.source.Hops())
+			g.replica.Apply(g.chronicler.Shared(b), g.source.Hops())
 		},
 	}
 	g.replica = replicator.NewReplica(g.directory.Age)
@@ -213,10 +213,12 @@
 	g.chronicler = chronicler.New(g.self.ID, g.clock)
 	g.chronicler.Store, g.chronicler.Logger = do.MustInvoke[bergamotdale.RecordStore](i), g.Logger.Named("chronicler")
 	g.chronicler.Prefix = do.MustInvoke[bergamotdale.StoreLayout](i).RecordPrefix
-	g.chronicler.Members, g.chronicler.Period = g.gossiper.Live, g.longestStream
+	g.chronicler.Members, g.chronicler.Period = g.gossiper.Live, g.versionPeriod
 	g.chronicler.FirstStart = g.Settings.FirstStart
 	g.pinner = pinner.New(g.self.ID, g.clock)
 	g.pinner.Chronicle = g.chronicler
+	g.chronicler.Peer, g.chronicler.StreamTime = peer, g.streamTime
+	g.chronicler.Pending, g.chronicler.Recorded = g.pinner.Unrecorded, g.pinner.Recorded
 	g.pinner.Peer, g.pinner.Logger = peer, g.Logger.Named("pinner")
 	g.pinner.Members, g.pinner.Joined = g.gossiper.Live, g.gossiper.Joined
 	g.pinner.MembersChanged, g.pinner.Age = g.gossiper.Subscribe(), g.directory.Age
@@ -256,15 +258,18 @@
 	return errors.Trace(g.registerGauges())
 }
 
-// longestStream returns the longest time for which a stream may be taken up.
-func (g *Gateway) longestStream() time.Duration {
-	longest := pinner.MaxStreamAge
-	if table := g.directory.State().Table; table != nil {
-		longest = max(longest, table.LongestStream())
+// streamTime returns the longest time for which a stream may be taken up.
+func (g *Gateway) streamTime() time.Duration {
+	if table := g.directory.State().Table; table != nil && table.LongestStream() > 0 {
+		return table.LongestStream()
 	}
-	return longest
+	return pinner.MaxStreamAge
 }
 
+// versionPeriod returns for how long a version that has gone is kept in mind. It is not
+// shorter for a configuration that has just changed.
+func (g *Gateway) versionPeriod() time.Duration { return max(pinner.MaxStreamAge, g.streamTime()) }
+
 // registerGauges registers the values that are read at each scrape of the metrics.
 func (g *Gateway) registerGauges() error {
 	for _, gauge := range []struct {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/chronicler"
 	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/gossiper"
@@ -59,6 +60,7 @@
 	peerserver.Handle(api, maxPeerMessage, exchanger.Path, g.exchanger.Handle)
 	peerserver.Handle(api, maxPeerMessage, collector.Path, g.collector.Handle)
 	peerserver.Handle(api, maxPeerMessage, pinner.StorePath, g.pinner.HandleStore)
+	peerserver.Handle(api, maxPeerMessage, chronicler.RecordPath, g.chronicler.HandleRecord)
 	peerserver.Handle(api, maxPeerMessage, pinner.FindPath, g.pinner.HandleFind)
 	peerserver.Handle(api, maxPeerMessage, replicator.Path, g.replica.Serve)
 	return mux
--- a/pinner/doc.go
+++ b/pinner/doc.go
@@ -10,8 +10,12 @@
 // with one version costs no message: when a second one appears, each router stores the
 // pins of its own recent streams.
 //
-// A stream without a pin goes on only if no other version can have begun it: a router
-// has seen only one for as long as a stream lasts. Else it is refused.
+// While a service has several versions, the streams are recorded in the store too (see
+// package chronicler), so that they go on after all routers were lost.
+//
+// A stream without a pin goes on only if the store shows that no other version can have
+// begun it, or, if the store cannot tell, if this router and at least one other one have
+// seen a single version for as long as a stream lasts. Else it is refused.
 //
 // Table, History and Order hold the data and decide; they do no I/O. Pinner sends and
 // receives the messages.
--- a/pinner/find.go
+++ b/pinner/find.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/chronicler"
 )
 
 const (
@@ -18,8 +19,8 @@
 	joinLimit = 3 * time.Second
 )
 
-// listTimeout bounds the time for which a stream that is taken up waits for the store.
-const listTimeout = 400 * time.Millisecond
+// lookTimeout bounds the time for which a stream that is taken up waits for the store.
+const lookTimeout = 400 * time.Millisecond
 
 // unconfirmedRetryAfter is the time after which a client may take a stream up again if
 // no router that may know its version has responded.
@@ -53,11 +54,12 @@
 	if found {
 		return p.confirmed(ctx, own)
 	}
-	var listed listing
-	if !mixed {
+	looked, evidence := false, storeEvidence{}
+	if !mixed || !p.Joined() {
 		// The store alone can tell, also while the other routers are not known yet.
-		if listed = p.list(ctx, q.Service); listed.isSole() {
-			return Pin{Service: q.Service, Version: listed.versions[0]}, nil
+		looked, evidence = true, p.look(ctx, q)
+		if pin, refusal, decided := p.decide(ctx, q, evidence); decided {
+			return pin, refusal
 		}
 	}
 	if !p.awaitJoined(ctx) {
@@ -72,18 +74,18 @@
 		p.mu.Unlock()
 		return p.confirmed(ctx, *record)
 	}
-	if mixed {
-		listed = p.list(ctx, q.Service)
+	if !looked {
+		evidence = p.look(ctx, q)
+		if pin, refusal, decided := p.decide(ctx, q, evidence); decided {
+			return pin, refusal
+		}
 	}
-	switch {
-	case listed.isSole():
-		return Pin{Service: q.Service, Version: listed.versions[0]}, nil
-	case len(fromPeers) == 0 && (unanswered > 0 || !listed.responded):
+	if len(fromPeers) == 0 && (unanswered > 0 || !evidence.responded) {
 		return Pin{}, bergamotdale.Refuse(bergamotdale.CodePeer,
 			"neither the store nor any of %d routers that may know the software version of stream %q has responded", unanswered, q.Stream).
 			After(unconfirmedRetryAfter)
 	}
-	if version, sole := SoleVersion(append(seen, fromPeers...), q.MaxAge); sole && listed.allows(version) {
+	if version, sole := SoleVersion(append(seen, fromPeers...), q.MaxAge); sole && evidence.allows(version) {
 		return Pin{Service: q.Service, Version: version}, nil
 	}
 	if unanswered > 0 {
@@ -94,32 +96,41 @@
 		"service %s has or had several software versions, and it is not known which one began stream %q", q.Service, q.Stream)
 }
 
-// listing is what the store lists of the versions of a service.
-type listing struct {
-	// responded is set if the store has responded, and complete if no other version can
-	// have begun a stream.
-	responded, complete bool
-	versions            []string
+// storeEvidence is what the store shows of a stream and its service.
+type storeEvidence struct {
+	chronicler.Evidence
+	// responded is set if the store has responded.
+	responded bool
 }
 
-// isSole reports whether a single version can have begun a stream.
-func (l listing) isSole() bool { return l.complete && len(l.versions) == 1 }
-
-// allows reports whether the listing does not contradict that the version is the only one.
-func (l listing) allows(version string) bool {
-	return len(l.versions) == 0 || len(l.versions) == 1 && l.versions[0] == version
+// allows reports whether the store does not contradict that the version is the only one.
+func (e storeEvidence) allows(version string) bool {
+	return len(e.Versions) == 0 || len(e.Versions) == 1 && e.Versions[0] == version
 }
 
-// list reads from the store which versions have served.
-func (p *Pinner) list(ctx context.Context, service string) listing {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+// look reads from the store what it shows of the stream.
+func (p *Pinner) look(ctx context.Context, q Query) storeEvidence {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	versions, complete, err := p.Chronicle.Versions(ctx, service)
+	e, err := p.Chronicle.Look(ctx, q.Stream, q.Service)
 	if err != nil {
-		p.Logger.Info("store does not tell which software versions have served", zap.String("service", service), zap.Error(err))
-		return listing{}
+		p.Logger.Info("store does not tell which software version began a stream", zap.String("stream", q.Stream), zap.Error(err))
+	}
+	return storeEvidence{e, err == nil}
+}
+
+// decide returns the software that began the stream, or a refusal, if the store shows
+// enough to tell, and reports whether it does.
+func (p *Pinner) decide(ctx context.Context, q Query, e storeEvidence) (Pin, *bergamotdale.Refusal, bool) {
+	switch {
+	case e.Stream != nil:
+		pin, refusal := p.confirmed(ctx, p.put(q.Stream, *e.Stream, q.MaxAge))
+		return pin, refusal, true
+	case e.Complete && len(e.Versions) == 1:
+		return Pin{Service: q.Service, Version: e.Versions[0]}, nil, true
+	default:
+		return Pin{}, nil, false
 	}
-	return listing{responded: true, complete: complete, versions: versions}
 }
 
 // awaitJoined waits until the other routers are known, and reports whether they are.
--- a/pinner/fleet_test.go
+++ b/pinner/fleet_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/chronicler"
 	"github.com/bergamotdale/bergamotdale/pinner"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
@@ -44,14 +45,16 @@
 	// The store is silent if storeLost is set.
 	listed              []string
 	complete, storeLost bool
+	// recorded holds the streams in the store by ID.
+	recorded map[string]*chronicler.Stream
 }
 
-// Versions implements pinner.Chronicle.
-func (f *fleet) Versions(context.Context, string) ([]string, bool, error) {
+// Look implements pinner.Chronicle.
+func (f *fleet) Look(_ context.Context, stream, _ string) (chronicler.Evidence, error) {
 	if f.storeLost {
-		return nil, false, errors.New("the store does not respond")
+		return chronicler.Evidence{}, errors.New("the store does not respond")
 	}
-	return f.listed, f.complete, nil
+	return chronicler.Evidence{Stream: f.recorded[stream], Versions: f.listed, Complete: f.complete}, nil
 }
 
 // IsListed implements pinner.Chronicle.
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/chronicler"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
 
@@ -67,12 +68,12 @@
 	Versions Versions `json:"versions"`
 }
 
-// Chronicle is what the store keeps of the versions that have served.
+// Chronicle is what the store keeps of the versions that have served and of the streams
+// that they began.
 type Chronicle interface {
-	// Versions returns the versions of a service that the store lists, by a read that
-	// begins now. complete is set if no other version has begun a stream that can still
-	// be taken up.
-	Versions(ctx context.Context, service string) (versions []string, complete bool, err error)
+	// Look returns what the store shows of a stream and its service. It returns an error
+	// if the store does not respond.
+	Look(ctx context.Context, stream, service string) (chronicler.Evidence, error)
 	// IsListed reports whether the store lists the version, and IsMixed whether it lists
 	// several of the service.
 	IsListed(service, version string) bool
@@ -110,6 +111,9 @@
 	// MaxStreamAge.
 	maxAge time.Duration
 
+	// unrecorded holds the streams of this router that are not in the store and have to
+	// be.
+	unrecorded []string
 	// incomplete is set if a pin may not be stored where it has to be.
 	incomplete bool
 
@@ -161,6 +165,9 @@
 	p.maxAge = max(p.maxAge, min(timeLeft, maxLifetime))
 	p.table.Put(p.Clock.Now(), record)
 	needed := p.isMixed(p.Clock.Now(), pin.Service)
+	if needed {
+		p.addUnrecorded(stream)
+	}
 	p.mu.Unlock()
 	if !needed {
 		return
@@ -271,6 +278,7 @@
 			return ctx.Err()
 		case <-p.diverged:
 			needed = true
+			p.recordOwn()
 		case <-p.MembersChanged:
 		case <-p.Clock.After(retryInterval):
 			needed = p.takeIncomplete()
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -22,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/chronicler"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
@@ -343,8 +344,8 @@
 // emptyChronicle lists nothing, as before the first write.
 type emptyChronicle struct{}
 
-func (emptyChronicle) Versions(context.Context, string) ([]string, bool, error) {
-	return nil, false, nil
+func (emptyChronicle) Look(context.Context, string, string) (chronicler.Evidence, error) {
+	return chronicler.Evidence{}, nil
 }
 func (emptyChronicle) IsListed(string, string) bool { return false }
 func (emptyChronicle) IsMixed(string) bool          { return false }
