--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -9,7 +9,7 @@
 // stream lasts.
 //
 // The routers send their new streams to a few of them, the scribes, which write those of
-// all in one document several times a second, under a lease that outlives the streams.
+// all in one document up to ten times a second, under a lease that outlives the streams.
 //
 // Document, Observation and the documents of streams decide and hold data; they do no I/O.
 package chronicler
@@ -43,6 +43,10 @@
 	maxTurn  = 3 * time.Second
 	// callTimeout is the timeout of a call of the store.
 	callTimeout = time.Second
+	// streamsAge is the age up to which the streams that were read count as the latest,
+	// and streamsTimeout the timeout of a read.
+	streamsAge     = 2 * time.Second
+	streamsTimeout = 3 * time.Second
 	// writeDelay is the initial delay after a failed write, which doubles up to
 	// maxWriteDelay.
 	writeDelay    = 200 * time.Millisecond
@@ -65,6 +69,8 @@
 	// Recorded is called when they are.
 	Pending  func(limit int) []Stream
 	Recorded func([]Stream)
+	// NewStreams receives a value after Pending has got another one.
+	NewStreams <-chan struct{}
 	// StreamTime returns for how long the store keeps a stream.
 	StreamTime func() time.Duration
 	// Period returns the longest time for which a stream may be taken up.
@@ -89,8 +95,12 @@
 	found map[uint64]foundStream
 
 	startedAt time.Time
-	reads     reads
-	scribe    scribe
+	// documentReads and streamReads merge concurrent reads of the document and of the
+	// streams. streamsReadAt is the time of the latest one of the streams, zero for none.
+	documentReads reads[*snapshot]
+	streamReads   reads[time.Time]
+	streamsReadAt time.Time
+	scribe        scribe
 	// changed wakes Run up.
 	changed chan struct{}
 }
@@ -175,6 +185,21 @@
 	return c.document != nil && len(c.document.Services[service]) > 1
 }
 
+// isAnyMixed reports whether the store lists several versions of any service.
+func (c *Chronicler) isAnyMixed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.document == nil {
+		return false
+	}
+	for _, versions := range c.document.Services {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Shared returns the batch without what followers do not need.
 func (c *Chronicler) Shared(b bergamotdale.Batch) bergamotdale.Batch {
 	isStream := func(key string) bool { return strings.HasPrefix(key, c.Prefix+streamsKey) }
@@ -198,7 +223,7 @@
 
 // runDocument keeps the document up to date until the context is done.
 func (c *Chronicler) runDocument(ctx context.Context) error {
-	delay := writeDelay
+	delay, prefetched := writeDelay, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -206,6 +231,11 @@
 		case <-c.changed:
 		case <-c.Clock.After(checkInterval):
 		}
+		if !prefetched && c.isAnyMixed() {
+			// Clients take streams up right after a restart of all routers.
+			prefetched = true
+			go func() { _ = c.refreshStreams(ctx) }()
+		}
 		next, revision, due := c.due()
 		if !due {
 			continue
@@ -265,7 +295,7 @@
 	defer cancel()
 	entry, err := c.Store.CompareAndSwap(ctx, c.Prefix+versionsKey, data, revision)
 	if errors.Is(err, bergamotdale.ErrConflict) {
-		_, err := c.reads.do(ctx, c.read)
+		_, err := c.documentReads.do(ctx, c.readDocument)
 		return errors.Trace(err)
 	}
 	if err != nil {
@@ -296,29 +326,44 @@
 	at time.Time
 }
 
-// Look returns what the store shows of a stream and its service, by a read that begins
-// now, unless an earlier one has shown the stream: that does not change. It returns an
-// error if the store does not respond.
+// Look returns what the store shows of a stream and its service: the versions by a read
+// that begins now, the stream by one that is at most streamsAge old. It returns an error
+// if the store does not respond.
 func (c *Chronicler) Look(ctx context.Context, stream, service string) (Evidence, error) {
 	if found := c.lookUp(stream); found != nil {
 		return Evidence{Stream: found}, nil
 	}
-	s, err := c.reads.do(ctx, c.read)
-	if err != nil {
+	s, err := c.documentReads.do(ctx, c.readDocument)
+	if err != nil || s.document == nil {
 		return Evidence{}, errors.Trace(err)
 	}
-	e := Evidence{Stream: c.lookUp(stream)}
-	if s.document == nil {
-		return e, nil
+	e := Evidence{Versions: s.document.Services[service]}
+	if len(e.Versions) > 1 && stream != "" {
+		if err := c.refreshStreams(ctx); err != nil {
+			return Evidence{}, errors.Trace(err)
+		}
+		e.Stream = c.lookUp(stream)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.Versions = s.document.Services[service]
 	isUnlisted := func(v string) bool { return !slices.Contains(e.Versions, v) }
 	e.Complete = s.document.Complete && s.document.Era == s.era && !slices.ContainsFunc(c.observation.Versions(service), isUnlisted)
 	return e, nil
 }
 
+// refreshStreams reads the streams if the latest read is older than streamsAge. A stream
+// that began since is known to other routers.
+func (c *Chronicler) refreshStreams(ctx context.Context) error {
+	c.mu.Lock()
+	recent := !c.streamsReadAt.IsZero() && c.Clock.Now().Sub(c.streamsReadAt) < streamsAge
+	c.mu.Unlock()
+	if recent {
+		return nil
+	}
+	_, err := c.streamReads.do(ctx, c.readStreams)
+	return errors.Trace(err)
+}
+
 // lookUp returns the stream if a read has shown it, else nil.
 func (c *Chronicler) lookUp(stream string) *Stream {
 	if stream == "" {
@@ -334,33 +379,25 @@
 	return &aged
 }
 
-// snapshot is what a read of the records has returned.
+// snapshot is what a read of the document has returned.
 type snapshot struct {
 	era      int64
 	document *Document
 }
 
-// read reads the records from the store.
-func (c *Chronicler) read(ctx context.Context) (*snapshot, error) {
+// readDocument reads the versions that have served from the store.
+func (c *Chronicler) readDocument(ctx context.Context) (*snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	batch, err := c.Store.Range(ctx, c.Prefix, bergamotdale.Position{})
+	batch, err := c.Store.Range(ctx, c.Prefix+versionsKey, bergamotdale.Position{})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	s := &snapshot{era: batch.Era}
-	var streams []Stream
 	for _, e := range batch.Entries {
-		switch {
-		case e.Key == c.Prefix+versionsKey:
+		if e.Key == c.Prefix+versionsKey {
 			// One that cannot be decoded proves nothing.
 			s.document, _ = parseDocument(e.Value)
-		case strings.HasPrefix(e.Key, c.Prefix+streamsKey):
-			some, err := decodeStreams(e.Value)
-			if err != nil {
-				c.Logger.Warn("failed to decode streams, ignoring them", zap.String("key", e.Key), zap.Error(err))
-			}
-			streams = append(streams, some...)
 		}
 	}
 	c.mu.Lock()
@@ -370,10 +407,43 @@
 			c.apply(e)
 		}
 	}
-	c.found = c.merge(streams)
 	return s, nil
 }
 
+// readStreams reads the streams from the store, and returns when the read began. Those
+// that were read just now are not read again.
+func (c *Chronicler) readStreams(ctx context.Context) (time.Time, error) {
+	began := c.Clock.Now()
+	c.mu.Lock()
+	readAt := c.streamsReadAt
+	c.mu.Unlock()
+	if !readAt.IsZero() && began.Sub(readAt) < streamsAge {
+		return readAt, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, streamsTimeout)
+	defer cancel()
+	batch, err := c.Store.Range(ctx, c.Prefix+streamsKey, bergamotdale.Position{})
+	if err != nil {
+		return time.Time{}, errors.Trace(err)
+	}
+	var streams []Stream
+	size := 0
+	for _, e := range batch.Entries {
+		size += len(e.Value)
+		some, err := decodeStreams(e.Value)
+		if err != nil {
+			c.Logger.Warn("failed to decode streams, ignoring them", zap.String("key", e.Key), zap.Error(err))
+		}
+		streams = append(streams, some...)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.found, c.streamsReadAt = c.merge(streams), began
+	c.Logger.Info("streams read from the store", zap.Int("documents", len(batch.Entries)), zap.Int("bytes", size), zap.Int("streams", len(c.found)),
+		zap.Duration("after", c.Clock.Now().Sub(began)))
+	return began, nil
+}
+
 // merge returns the streams of a read, with the time at which each was read first. The
 // lock is held.
 func (c *Chronicler) merge(streams []Stream) map[uint64]foundStream {
--- a/chronicler/scribe.go
+++ b/chronicler/scribe.go
@@ -22,16 +22,16 @@
 const (
 	// routersPerScribe is the number of routers for each of those that write streams to
 	// the store.
-	routersPerScribe = 64
-	// Each router sends its new streams after recordInterval, or later in a large fleet:
-	// a scribe gets a message in messageInterval on average.
-	recordInterval  = 100 * time.Millisecond
-	messageInterval = 5 * time.Millisecond
-	// writeInterval is the time between two writes of a scribe.
-	writeInterval = 250 * time.Millisecond
+	routersPerScribe = 32
+	// writeInterval is the time between two writes of a scribe. A router has one message
+	// in progress at a time, which waits for the write, so it sends no more of them.
+	writeInterval = 100 * time.Millisecond
+	// resendDelay is the time after which streams are sent again that could not be
+	// written.
+	resendDelay = 200 * time.Millisecond
 	// leaseTime is the time for which a scribe uses a lease. The streams that were written
 	// at its end are kept for as long as a stream may last.
-	leaseTime = 15 * time.Second
+	leaseTime = 5 * time.Second
 	// maxLease is the longest lease that the store grants.
 	maxLease = 10 * time.Minute
 	// maxStreams is the largest number of streams in a message.
@@ -128,20 +128,20 @@
 // runRecorder has the new streams of this router written until the context is done.
 func (c *Chronicler) runRecorder(ctx context.Context) error {
 	for {
-		routers := scribes(c.Members())
-		interval := recordInterval
-		if n := len(routers); n > 0 {
-			interval = max(interval, time.Duration(len(c.Members())/n)*messageInterval)
-		}
-		if bergamotdale.Wait(ctx, c.Clock, interval) != nil {
-			return ctx.Err()
-		}
 		streams := c.Pending(maxStreams)
 		if len(streams) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-c.NewStreams:
+			}
 			continue
 		}
-		if err := c.send(ctx, routers, streams); err != nil {
+		if err := c.send(ctx, scribes(c.Members()), streams); err != nil {
 			c.Logger.Info("failed to record streams, sending them again", zap.Int("streams", len(streams)), zap.Error(err))
+			if bergamotdale.Wait(ctx, c.Clock, resendDelay) != nil {
+				return ctx.Err()
+			}
 			continue
 		}
 		c.Recorded(streams)
--- a/chronicler/streams.go
+++ b/chronicler/streams.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale/hasher"
@@ -27,17 +27,27 @@
 // HashStream returns the hash of a stream's ID by which it is recorded.
 func HashStream(id string) uint64 { return hasher.Hash(id) }
 
-// streamDocument holds streams that began at about the same time.
+// streamDocument holds streams that began at about the same time. It is encoded in CBOR
+// (RFC 8949), as routers that start read those of all.
 type streamDocument struct {
-	Groups   []streamGroup `json:"groups,omitempty"`
-	Doubtful []Stream      `json:"doubtful,omitempty"`
+	_ struct{} `cbor:",toarray"`
+	// Versions holds services with their versions, in pairs.
+	Versions [][2]string
+	Groups   []streamGroup
 }
 
-// streamGroup holds the hashes of streams of one version, 8 bytes each.
+// streamGroup holds streams of one version, and of one incarnation of an endpoint if
+// that was not certain.
 type streamGroup struct {
-	Service string `json:"service"`
-	Version string `json:"version"`
-	Hashes  []byte `json:"hashes"`
+	_ struct{} `cbor:",toarray"`
+	// Version is the index in streamDocument.Versions.
+	Version     int
+	Endpoint    string
+	Incarnation int64
+	// AgeMS is the age of the youngest stream.
+	AgeMS int64
+	// Hashes holds hashSize bytes of each stream.
+	Hashes []byte
 }
 
 // hashSize is the size of a hash in a streamGroup, in bytes.
@@ -45,45 +55,50 @@
 
 // encodeStreams returns the document of streams.
 func encodeStreams(streams []Stream) ([]byte, error) {
+	type origin struct {
+		version, incarnation int64
+		endpoint             string
+	}
 	var d streamDocument
-	groups := map[[2]string]int{}
+	versions, groups := map[[2]string]int{}, map[origin]int{}
 	for _, s := range streams {
-		if s.Endpoint != "" {
-			d.Doubtful = append(d.Doubtful, s)
-			continue
+		v, ok := versions[[2]string{s.Service, s.Version}]
+		if !ok {
+			v = len(d.Versions)
+			versions[[2]string{s.Service, s.Version}] = v
+			d.Versions = append(d.Versions, [2]string{s.Service, s.Version})
 		}
-		key := [2]string{s.Service, s.Version}
-		i, ok := groups[key]
+		from := origin{int64(v), s.Incarnation, s.Endpoint}
+		i, ok := groups[from]
 		if !ok {
 			i = len(d.Groups)
-			groups[key] = i
-			d.Groups = append(d.Groups, streamGroup{Service: s.Service, Version: s.Version})
+			groups[from] = i
+			d.Groups = append(d.Groups, streamGroup{Version: v, Endpoint: s.Endpoint, Incarnation: s.Incarnation, AgeMS: s.AgeMS})
 		}
-		d.Groups[i].Hashes = binary.BigEndian.AppendUint64(d.Groups[i].Hashes, s.Hash)
+		g := &d.Groups[i]
+		g.AgeMS = min(g.AgeMS, s.AgeMS)
+		g.Hashes = binary.BigEndian.AppendUint64(g.Hashes, s.Hash)
 	}
-	data, err := json.Marshal(d)
+	data, err := cbor.Marshal(d)
 	return data, errors.Trace(err)
 }
 
 // decodeStreams returns the streams of a document.
 func decodeStreams(data []byte) ([]Stream, error) {
 	var d streamDocument
-	if err := json.Unmarshal(data, &d); err != nil {
+	if err := cbor.Unmarshal(data, &d); err != nil {
 		return nil, errors.Annotate(err, "decoding streams")
 	}
-	streams := make([]Stream, 0, len(d.Doubtful))
-	for _, s := range d.Doubtful {
-		if s.Endpoint == "" || s.Version == "" || s.Service == "" || s.AgeMS < 0 {
-			return nil, errors.Errorf("decoding streams: stream %x has no endpoint, version or service, or the age %d ms", s.Hash, s.AgeMS)
-		}
-		streams = append(streams, s)
-	}
+	var streams []Stream
 	for _, g := range d.Groups {
-		if len(g.Hashes)%hashSize != 0 || g.Service == "" {
-			return nil, errors.Errorf("decoding streams: %d bytes of hashes for service %q", len(g.Hashes), g.Service)
+		if g.Version < 0 || g.Version >= len(d.Versions) || g.AgeMS < 0 || len(g.Hashes)%hashSize != 0 {
+			return nil, errors.Errorf("decoding streams: group of version %d of %d, age %d ms, %d bytes of hashes", g.Version, len(d.Versions), g.AgeMS, len(g.Hashes))
 		}
 		for i := 0; i < len(g.Hashes); i += hashSize {
-			streams = append(streams, Stream{Hash: binary.BigEndian.Uint64(g.Hashes[i:]), Service: g.Service, Version: g.Version})
+			streams = append(streams, Stream{
+				Hash: binary.BigEndian.Uint64(g.Hashes[i:]), Service: d.Versions[g.Version][0], Version: d.Versions[g.Version][1],
+				Endpoint: g.Endpoint, Incarnation: g.Incarnation, AgeMS: g.AgeMS,
+			})
 		}
 	}
 	return streams, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,7 +218,7 @@
 	g.pinner = pinner.New(g.self.ID, g.clock)
 	g.pinner.Chronicle = g.chronicler
 	g.chronicler.Peer, g.chronicler.StreamTime = peer, g.streamTime
-	g.chronicler.Pending, g.chronicler.Recorded = g.pinner.Unrecorded, g.pinner.Recorded
+	g.chronicler.Pending, g.chronicler.Recorded, g.chronicler.NewStreams = g.pinner.Unrecorded, g.pinner.Recorded, g.pinner.NewStreams()
 	g.pinner.Peer, g.pinner.Logger = peer, g.Logger.Named("pinner")
 	g.pinner.Members, g.pinner.Joined = g.gossiper.Live, g.gossiper.Joined
 	g.pinner.MembersChanged, g.pinner.Age = g.gossiper.Subscribe(), g.directory.Age
--- a/pinner/find.go
+++ b/pinner/find.go
@@ -20,7 +20,7 @@
 )
 
 // lookTimeout bounds the time for which a stream that is taken up waits for the store.
-const lookTimeout = 400 * time.Millisecond
+const lookTimeout = time.Second
 
 // unconfirmedRetryAfter is the time after which a client may take a stream up again if
 // no router that may know its version has responded.
@@ -92,6 +92,10 @@
 		return Pin{}, bergamotdale.Refuse(bergamotdale.CodePeer, "%d routers that may know the software version of stream %q have not responded",
 			unanswered, q.Stream).After(unconfirmedRetryAfter)
 	}
+	if !evidence.responded {
+		return Pin{}, bergamotdale.Refuse(bergamotdale.CodePeer, "the store, which may know the software version of stream %q, has not responded",
+			q.Stream).After(unconfirmedRetryAfter)
+	}
 	return Pin{}, bergamotdale.Refuse(bergamotdale.CodeVersionUnknown,
 		"service %s has or had several software versions, and it is not known which one began stream %q", q.Service, q.Stream)
 }
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -114,6 +114,8 @@
 	// unrecorded holds the streams of this router that are not in the store and have to
 	// be.
 	unrecorded []string
+	// newStreams gets a value after unrecorded has got another stream.
+	newStreams chan struct{}
 	// incomplete is set if a pin may not be stored where it has to be.
 	incomplete bool
 
@@ -123,7 +125,7 @@
 
 // New returns a pinner without pins.
 func New(self string, clock bergamotdale.Clock) *Pinner {
-	return &Pinner{Self: self, Clock: clock, Logger: zap.NewNop(), startedAt: clock.Now(), maxAge: MaxStreamAge, diverged: make(chan struct{}, 1)}
+	return &Pinner{Self: self, Clock: clock, Logger: zap.NewNop(), startedAt: clock.Now(), maxAge: MaxStreamAge, diverged: make(chan struct{}, 1), newStreams: make(chan struct{}, 1)}
 }
 
 // Observe records the endpoints of a new state.
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -8,11 +8,20 @@
 
 // addUnrecorded marks a stream of this router for the store. The lock is held.
 func (p *Pinner) addUnrecorded(stream string) {
-	if len(p.unrecorded) < maxPins {
-		p.unrecorded = append(p.unrecorded, stream)
+	if len(p.unrecorded) >= maxPins {
+		return
+	}
+	p.unrecorded = append(p.unrecorded, stream)
+	select {
+	case p.newStreams <- struct{}{}:
+	default:
 	}
 }
 
+// NewStreams returns a channel that receives a value after Unrecorded has got another
+// stream.
+func (p *Pinner) NewStreams() <-chan struct{} { return p.newStreams }
+
 // recordOwn marks the streams of this router for the store whose services have several
 // versions. They may have begun before the second one appeared.
 func (p *Pinner) recordOwn() {
