--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 capacity:
 	{ $(CAPACITY) -bench Idle -benchtime 1x -count 2 ./fleettester; \
 	$(CAPACITY) -bench . -p 1 -benchtime 1x -count 2 ./gossiper ./elector; \
-	$(CAPACITY) -p 1 -bench 'Memory' -benchtime 1x -count 3 ./placer ./replayer ./committer; \
+	$(CAPACITY) -p 1 -bench 'Memory' -benchtime 1x -count 3 ./placer ./replayer ./committer ./chronicler; \
 	$(CAPACITY) -bench 'Rate' -benchtime 1x -count 1 ./committer; \
 	$(CAPACITY) -p 1 -bench . -benchtime 0.3s -count 3 ./aggregator ./dispatcher ./forwarder ./responder; \
 	$(CAPACITY) -p 1 -bench 'Order|Plan' -benchtime 0.3s -count 3 ./placer; \
--- a/chronicler/scribe_test.go
+++ b/chronicler/scribe_test.go
@@ -93,7 +93,7 @@
 }
 
 // newMixedStore returns a store that lists two versions.
-func newMixedStore(t *testing.T) *recordStore {
+func newMixedStore(t testing.TB) *recordStore {
 	store := newRecordStore()
 	data, err := json.Marshal(chronicler.Document{Era: 1, Services: map[string][]string{service: {"v0", "v1", "v2"}}})
 	assert.NilError(t, err)
