--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -90,8 +90,8 @@
 	// dueSince is the time since which the document has to change; zero if it has not.
 	dueSince time.Time
 
-	// found holds the streams of the latest read by hash, and foundAt when each was read
-	// first.
+	// found holds the streams of the latest read by hash, with the time at which each was
+	// read first.
 	found map[uint64]foundStream
 
 	startedAt time.Time
