--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -43,6 +43,9 @@
 	Limits    GatewayLimits `yaml:"promises"`
 	// Responses limits what an endpoint may send.
 	Responses ResponseLimits `yaml:"responses"`
+	// Terms lists the parts of the deployment's rules that are in force, as the platform
+	// names them.
+	Terms []string `yaml:"terms"`
 }
 
 // ResponseLimits bounds the responses of endpoints. An endpoint in trouble may send
@@ -89,6 +92,14 @@
 	// RetryRatio times its requests plus RetrySlack.
 	RetryRatio float64 `yaml:"retry-ratio" min:"0" max:"1"`
 	RetrySlack float64 `yaml:"retry-slack" min:"0" max:"100000"`
+	// ColdExcess and ColdSlack limit what a cold endpoint gets from all routers in any
+	// second to ColdExcess times the rate that it tolerates plus ColdSlack. Zero for both
+	// means no limit.
+	ColdExcess float64 `yaml:"cold-excess" min:"0" max:"1000"`
+	ColdSlack  float64 `yaml:"cold-slack" min:"0" max:"100000"`
+	// Evacuation is the time within which the endpoints of an evacuated failure domain get
+	// no new work. Zero means that of Withdrawal.
+	Evacuation time.Duration `yaml:"evacuation" min:"0s" max:"1h"`
 }
 
 // SetDefaults implements decoder.Defaulter.
--- a/store.go
+++ b/store.go
@@ -146,4 +146,7 @@
 	EndpointPrefix string
 	// RecordPrefix is the prefix of the keys of the fleet's own records.
 	RecordPrefix string
+	// EvacuationPrefix is the prefix of the keys by which operators ask for the evacuation
+	// of a failure domain, whose name follows it; empty if there are none.
+	EvacuationPrefix string
 }
--- a/traffic.go
+++ b/traffic.go
@@ -61,14 +61,27 @@
 	Name string
 	// CopiesCache is true if the endpoints can copy cached prompts from each other.
 	CopiesCache bool
+	// ColdRate is the number of requests per second that an endpoint tolerates while it
+	// is cold; zero for no limit.
+	ColdRate float64
+	// ColdStart is how long an endpoint is cold after it has started.
+	ColdStart time.Duration
+	// CacheTokens is the memory of an endpoint for running requests and cached prompts,
+	// in tokens; zero if unknown.
+	CacheTokens int64
+	// MaxConns is the number of connections that an endpoint accepts from all routers;
+	// zero if unknown.
+	MaxConns int
 }
 
 // TrafficLimits holds the limits of clients: the maximum sizes of a request, in bytes,
-// and how long a connection may stay idle between two requests, zero for a default.
+// how long the headers of a request may take, and how long a connection may stay idle
+// between two requests. Zero selects a default.
 type TrafficLimits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // WorkspaceKeys holds the API keys of a workspace.
@@ -111,6 +124,9 @@
 	Incarnation int64
 	// Sequence rises with each report of an incarnation. Zero means unknown.
 	Sequence int64
+	// ColdFor is how much longer the endpoint was cold when it wrote the record; zero if
+	// it was not.
+	ColdFor time.Duration
 }
 
 // PromptPart is a sequence of tokens in a prompt that several requests may share.
@@ -181,6 +197,29 @@
 	// from this router. It is zero if the endpoint names none, and negative if what it
 	// names is no number.
 	ClosedFor time.Duration
+	// ColdFor is how much longer the endpoint is cold, zero if it says nothing.
+	ColdFor time.Duration
+	// Load is what the endpoint says of its load, nil if it says nothing.
+	Load *ReportedLoad
+}
+
+// ReportedLoad is the load of an endpoint as the headers of its response state it.
+type ReportedLoad struct {
+	// Running and Waiting are the numbers of requests that run and that are queued, and
+	// Slots is the number that can run at once.
+	Running, Waiting, Slots int
+	// Slowdown is how much longer work takes on the endpoint's machine at this moment than
+	// usual: 1 as usual, 2 twice as long. It is zero if the endpoint does not say.
+	Slowdown float64
+}
+
+// Features are the parts of the router that a deployment's settings call for.
+type Features struct {
+	// SharedAdmission divides the capacity of a service with few endpoints among the
+	// routers.
+	SharedAdmission bool
+	// LiveLoad corrects reported loads by what has happened since the report.
+	LiveLoad bool
 }
 
 // Dialect converts between the HTTP headers and stored documents of a deployment and
