--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -97,9 +97,11 @@
 // to a script.
 type fakeEndpoint struct {
 	listener net.Listener
-	// version is that of the endpoint's software, and incarnation its own, in its record.
+	// version is that of the endpoint's software, and incarnation its own, in its record;
+	// domain is its failure domain.
 	version     string
 	incarnation int64
+	domain      string
 	// accepted is the number of connections.
 	accepted atomic.Int64
 	mu       sync.Mutex
@@ -233,18 +235,25 @@
 	return slices.Clone(q.crashes), slices.Clone(q.progressive)
 }
 
-// fakeStore is a store whose entries never change.
+// fakeStore is a store whose entries change only by change.
 type fakeStore struct {
 	entries []bergamotdale.Entry
+	// pending receives the changes that the next call of Changes returns; nil for none.
+	pending chan []bergamotdale.Change
 }
 
 func (s *fakeStore) Range(context.Context, string, bergamotdale.Position) (bergamotdale.Batch, error) {
 	return bergamotdale.Batch{Entries: s.entries, Revision: 1}, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, _ string, _ bergamotdale.Position, wait time.Duration) (bergamotdale.Batch, error) {
-	_ = bergamotdale.Wait(ctx, bergamotdale.SystemClock{}, wait)
-	return bergamotdale.Batch{Revision: 1}, nil
+func (s *fakeStore) Changes(ctx context.Context, _ string, after bergamotdale.Position, wait time.Duration) (bergamotdale.Batch, error) {
+	select {
+	case changes := <-s.pending:
+		return bergamotdale.Batch{Changes: changes, Revision: after.Revision + 1}, nil
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return bergamotdale.Batch{Revision: after.Revision}, nil
 }
 
 // startRelayer starts a server with a relayer that forwards one route to the
@@ -264,6 +273,11 @@
 // newRelayer returns a relayer that forwards one route to the endpoints. Its startup
 // gate is closed.
 func newRelayer(t *testing.T, route bergamotdale.Route, endpoints ...*fakeEndpoint) *relayer.Relayer {
+	return newRelayerOfStore(t, &fakeStore{}, route, endpoints...)
+}
+
+// newRelayerOfStore is newRelayer with a store that the test may change.
+func newRelayerOfStore(t *testing.T, s *fakeStore, route bergamotdale.Route, endpoints ...*fakeEndpoint) *relayer.Relayer {
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Targets = []bergamotdale.RouteTarget{{Service: "s", Weight: 1}}
 	config := bergamotdale.TrafficConfig{
@@ -272,10 +286,10 @@
 	}
 	document, err := json.Marshal(config)
 	assert.NilError(t, err)
-	s := &fakeStore{entries: []bergamotdale.Entry{{Key: "config", Value: document, Version: 1}}}
+	s.entries = []bergamotdale.Entry{{Key: "config", Value: document, Version: 1}}
 	for i, e := range endpoints {
 		id := fmt.Sprintf("e%d", i)
-		record, err := json.Marshal(bergamotdale.EndpointRecord{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 8, Version: e.version, Incarnation: e.incarnation})
+		record, err := json.Marshal(bergamotdale.EndpointRecord{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 8, Version: e.version, Incarnation: e.incarnation, FailureDomain: e.domain})
 		assert.NilError(t, err)
 		s.entries = append(s.entries, bergamotdale.Entry{Key: "endpoint/" + id, Value: record, Version: 1})
 	}
@@ -288,12 +302,15 @@
 	ready := make(chan struct{}, 1)
 	directory := &subscriber.Subscriber{
 		Store: s, Dialect: testDialect{}, Clock: clock, Logger: zap.NewNop(),
-		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/"},
+		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/", EvacuationPrefix: "evacuate/"},
 		Elapsed: func() time.Duration { return time.Since(startTime) + time.Hour },
 		OnChange: func(state *subscriber.State) {
 			endpointTracker.UpdateEndpoints(clock.Now(), state)
 			pins.Observe(state)
-			ready <- struct{}{}
+			select {
+			case ready <- struct{}{}:
+			default:
+			}
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/subscriber/era_test.go
+++ b/subscriber/era_test.go
@@ -38,7 +38,7 @@
 	began := time.Now()
 	r.d = &subscriber.Subscriber{
 		Store: r.store, Dialect: jsonDialect{}, Clock: r.clock, Logger: zap.NewNop(),
-		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/"},
+		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/", EvacuationPrefix: "op/evacuate/"},
 		Elapsed: func() time.Duration { return time.Since(began) + time.Hour },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
