subscriber, relayer, replicator: an evacuated failure domain gets no requests

Cause: nothing read the keys below StoreLayout.EvacuationPrefix, and promises.evacuation had no effect.

Change: subscriber keeps the set of evacuated domains; an endpoint in one is not Usable, so that it is neither chosen nor passes the check before the write. That check is also made after the wait for other requests that are being written, and before an endpoint is asked for its incarnation. The set is kept in an outage, decided by a full read, and an evacuation that a restored store lacks lasts for another 10 s. If endpoints of a service are evacuated and none is usable, requests get 503 with 1.25 s. The smaller one of the promises of withdrawal and evacuation limits the age of the content. Gauge bergamotdale.domains.evacuated. Without keys and without promises.evacuation nothing changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -281,6 +281,8 @@
 			func() int64 { return int64(g.gatekeeper.LeavingCount()) }},
 		{"bergamotdale.endpoints.closed", "endpoints that want no requests from this router for a time",
 			func() int64 { return int64(g.gatekeeper.ClosedCount()) }},
+		{"bergamotdale.domains.evacuated", "failure domains that the operators have evacuated",
+			func() int64 { return int64(g.directory.State().EvacuatedCount()) }},
 		{"bergamotdale.store.era", "era of the store that the state is from", g.directory.Era},
 		{"bergamotdale.streams.pinned", "streams of which the router knows the software version that began them",
 			func() int64 { return int64(g.pinner.PinCount()) }},
@@ -306,7 +308,7 @@
 		MaxEvent:     int(s.Responses.MaxEvent),
 		MaxResponse:  int64(s.Responses.MaxBody),
 	})
-	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Contact); err != nil {
+	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Evacuation, s.Limits.Contact); err != nil {
 		g.Logger.Error("failed to apply the promises, keeping those in force", zap.Error(err))
 	} else {
 		g.source.SetBounds(bounds)
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -144,7 +144,7 @@
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
-	if _, err := replicator.NewBounds(settings.Limits.Withdrawal, settings.Limits.Contact); err != nil {
+	if _, err := replicator.NewBounds(settings.Limits.Withdrawal, settings.Limits.Evacuation, settings.Limits.Contact); err != nil {
 		source.Report(decoder.NewPath("promises"), "promises that the way from the store allows", "%s", err)
 		return nil, source.Err()
 	}
--- a/loader/gateway_test.go
+++ b/loader/gateway_test.go
@@ -29,6 +29,7 @@
 	for promises, want := range map[string]string{
 		"{endpoint-withdrawal: 1500ms, store-contact: 3s}": "withdrawal 1.5s is too short",
 		"{endpoint-withdrawal: 3s, store-contact: 2s}":     "contact 2s is too short",
+		"{evacuation: 1500ms, store-contact: 3s}":          "evacuation 1.5s is too short",
 		"{endpoint-withdrawal: 3}":                         "endpoint-withdrawal",
 	} {
 		_, err := loader.ParseGatewaySettings("f", gatewaySettings(promises))
--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -32,11 +32,16 @@
 }
 
 // confirm asks the endpoint which incarnation it is, unless that is certain. It returns
-// an error, and closes the connection, if the endpoint is not the target or does not say.
+// an error, and closes the connection, if the endpoint is not the target, does not say or
+// must not be asked.
 func (r *Relayer) confirm(ctx context.Context, conn *dialer.Conn, target subscriber.Endpoint) error {
 	if r.isConfirmed(conn, target) {
 		return nil
 	}
+	if err := r.mayAsk(target); err != nil {
+		_ = conn.Close()
+		return errors.Trace(err)
+	}
 	incarnation, err := r.fetchIncarnation(ctx, conn, target)
 	if err == nil && incarnation != target.Incarnation {
 		_ = conn.Close()
@@ -45,8 +50,16 @@
 	return errors.Trace(err)
 }
 
+// mayAsk returns an error if the endpoint must get no request of this router's own.
+func (r *Relayer) mayAsk(target subscriber.Endpoint) error {
+	if r.isEvacuated(target) {
+		return errors.Annotatef(errEvacuated, "endpoint %s", target.ID)
+	}
+	return nil
+}
+
 // AskIncarnation asks an endpoint which incarnation it is, unless it has said that it
-// wants no requests.
+// wants no requests or its failure domain is evacuated.
 func (r *Relayer) AskIncarnation(ctx context.Context, target subscriber.Endpoint) (int64, error) {
 	if len(r.Gatekeeper.Open([]subscriber.Endpoint{target})) == 0 {
 		return 0, errors.Errorf("endpoint %s takes no requests", target.ID)
@@ -55,6 +68,10 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	if err := r.mayAsk(target); err != nil {
+		_ = conn.Close()
+		return 0, errors.Trace(err)
+	}
 	incarnation, err := r.fetchIncarnation(ctx, conn, target)
 	if err == nil {
 		r.Dialer.Release(conn)
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -368,8 +368,8 @@
 }
 
 // recheck returns a refusal if the request may no longer be sent to the target.
-// While the connection was opened, the endpoint may have started to drain or left,
-// or the configuration may have become too old to trust API keys.
+// While the connection was opened, the endpoint may have started to drain, left or been
+// evacuated, or the configuration may have become too old to trust API keys.
 func (j *job) recheck(target subscriber.Endpoint) *bergamotdale.Refusal {
 	r := j.relayer
 	if j.verdict.Workspace != "" && !r.screeningState().KeysTrusted() {
@@ -378,7 +378,7 @@
 	if r.isUsable(target) {
 		return nil
 	}
-	return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "endpoint %s is draining or no longer registered", target.ID).After(refusedRetryAfter)
+	return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "endpoint %s is draining, evacuated or no longer registered", target.ID).After(refusedRetryAfter)
 }
 
 // fail ends the request with a refusal. It aborts the response if that has begun,
--- a/relayer/leaving.go
+++ b/relayer/leaving.go
@@ -21,9 +21,14 @@
 
 // enter returns a function to call once the beginning of the request has been
 // written to the target, or a failure if it must not be written: while the
-// connection was opened, the endpoint may have said that it leaves or named a time.
+// connection was opened, the endpoint may have said that it leaves or named a time. While
+// others were being written, its failure domain may have been evacuated.
 func (j *job) enter(ctx context.Context, target subscriber.Endpoint) (func(), *failure) {
 	written, err := j.relayer.Gatekeeper.Enter(ctx, target)
+	if err == nil && j.relayer.isEvacuated(target) {
+		written()
+		return nil, closedFailure(errEvacuated, target)
+	}
 	if err == nil {
 		j.enteredAt = j.relayer.Clock.Now()
 		return written, nil
@@ -53,6 +58,9 @@
 	if refusal := j.versionGone(); refusal != nil {
 		return refusal
 	}
+	if refusal := j.allEvacuated(); refusal != nil {
+		return refusal
+	}
 	return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "no endpoint is available for service %s: %d known, %d already tried",
 		j.service, len(j.relayer.Directory.State().Endpoints(j.service)), len(tried)).After(refusedRetryAfter)
 }
--- a/replicator/asker_test.go
+++ b/replicator/asker_test.go
@@ -16,7 +16,7 @@
 // followers that ask the store before the routers that they follow have.
 func TestBoundsFollowFromThePromises(t *testing.T) {
 	for _, p := range userPromises {
-		b, err := NewBounds(p.withdrawal, p.contact)
+		b, err := NewBounds(p.withdrawal, 0, p.contact)
 		assert.NilError(t, err)
 		assert.Assert(t, b.normalAge < b.switchAge(true))
 		assert.Assert(t, b.switchAge(true) < b.firstAsk(true))
@@ -30,6 +30,22 @@
 	}
 }
 
+// Guards against content that is older than the promise of evacuation allows, because only
+// that of withdrawal counts, and the reverse.
+func TestTheSmallerPromiseLimitsTheAge(t *testing.T) {
+	for _, p := range []struct{ withdrawal, evacuation, want time.Duration }{
+		{3 * time.Second, 5 * time.Second, 3 * time.Second},
+		{3 * time.Second, 2 * time.Second, 2 * time.Second},
+		{3 * time.Second, 0, 3 * time.Second},
+	} {
+		b, err := NewBounds(p.withdrawal, p.evacuation, 4*time.Second)
+		assert.NilError(t, err)
+		want, err := NewBounds(p.want, 0, 4*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, b, want)
+	}
+}
+
 // Guards against a record that is kept as lapsed although this router has not failed
 // to reach the store, or beyond the time in which the promises do not hold for it.
 func TestLapsesNeedAFailure(t *testing.T) {
--- a/replicator/bounds.go
+++ b/replicator/bounds.go
@@ -45,8 +45,8 @@
 // The age includes the lag of the store and the time on each hop, so the number of hops
 // does not add to it.
 type Bounds struct {
-	// withdrawal is the time within which an endpoint that leaves gets no new work,
-	// and contact that after which a router that was cut off keeps the promises again.
+	// withdrawal is the time within which an endpoint that leaves or is evacuated gets no
+	// new work, and contact that after which a router that was cut off keeps the promises again.
 	withdrawal, contact time.Duration
 	// watchWait is the duration of a primary's watch.
 	watchWait time.Duration
@@ -54,16 +54,32 @@
 	askAge    time.Duration
 }
 
-// NewBounds returns the bounds for the promises. It returns an error if no router
-// that follows others could keep them.
-func NewBounds(withdrawal, contact time.Duration) (Bounds, error) {
+// Withdrawal returns the time within which every change of the content must have reached
+// all routers: the promise of withdrawal, or that of evacuation if it is smaller. Zero for
+// evacuation means that there is none.
+func Withdrawal(withdrawal, evacuation time.Duration) time.Duration {
+	if evacuation > 0 {
+		return min(withdrawal, evacuation)
+	}
+	return withdrawal
+}
+
+// NewBounds returns the bounds for the promises. The smaller one of withdrawal and
+// evacuation limits the age of the content; zero for evacuation means that there is none. It
+// returns an error if no router that follows others could keep them.
+func NewBounds(withdrawal, evacuation, contact time.Duration) (Bounds, error) {
+	promise := "withdrawal"
+	if evacuation > 0 && evacuation < withdrawal {
+		promise = "evacuation"
+	}
+	withdrawal = Withdrawal(withdrawal, evacuation)
 	b := Bounds{withdrawal: withdrawal, contact: contact, askAge: withdrawal - sendTime - askTime}
 	// A watch confirms its beginning, so content grows as old as two watches.
 	b.watchWait = min(maxWatchWait, (b.askAge-storeLag-turnTime)/4)
 	b.normalAge = storeLag + 2*b.watchWait + turnTime
 	if b.watchWait < minWatchWait {
 		least := sendTime + askTime + storeLag + turnTime + 4*minWatchWait
-		return Bounds{}, errors.Errorf("withdrawal %s is too short: the way through observers takes up to %s", withdrawal, least)
+		return Bounds{}, errors.Errorf("%s %s is too short: the way through observers takes up to %s", promise, withdrawal, least)
 	}
 	if least := 2 * (storeLag + askTime + sendTime); contact < least {
 		return Bounds{}, errors.Errorf("contact %s is too short: a router asks the store again after up to %s", contact, least)
@@ -73,7 +89,7 @@
 
 // defaultBounds returns the bounds for the default promises.
 func defaultBounds() Bounds {
-	b, err := NewBounds(DefaultWithdrawal, DefaultContact)
+	b, err := NewBounds(DefaultWithdrawal, 0, DefaultContact)
 	if err != nil {
 		panic("default promises: " + err.Error())
 	}
--- a/replicator/modelfleet_test.go
+++ b/replicator/modelfleet_test.go
@@ -153,7 +153,7 @@
 	}
 	directory := &subscriber.Subscriber{
 		Store: source, Dialect: modelDialect{}, Clock: bergamotdale.SystemClock{}, Logger: zap.NewNop(),
-		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: modelPrefix},
+		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: modelPrefix, EvacuationPrefix: "evacuate/"},
 		Elapsed: func() time.Duration { return time.Since(f.start) + time.Hour },
 		Random:  below,
 	}
--- a/replicator/schedule_test.go
+++ b/replicator/schedule_test.go
@@ -352,7 +352,7 @@
 func newSchedule(ctx context.Context, seed uint64, routers int) *schedule {
 	random := rand.New(rand.NewPCG(seed, uint64(routers)))
 	s := &schedule{fleet: newModelFleet(random, routers, 48), promises: promisesOf(routers), random: random, ctx: ctx}
-	bounds, err := replicator.NewBounds(s.promises.drain, s.promises.contact)
+	bounds, err := replicator.NewBounds(s.promises.drain, 0, s.promises.contact)
 	if err != nil {
 		panic(err)
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -9,11 +9,15 @@
 //
 // A single watch covers every key that the fleet reads, so each router costs
 // the store only one pending call.
+//
+// The load pattern of evacuations: all endpoints of a failure domain, a quarter of a fleet
+// of 140, must get nothing more within seconds, while the store fails or is restored.
 package subscriber
 
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -60,11 +64,13 @@
 	// lapseEnd is the time at which a lapsed endpoint stops being usable: LapseGrace
 	// after LapsedAt unless the store states a limit.
 	lapseEnd time.Time
+	// Evacuated is true while the operators ask for the evacuation of its failure domain.
+	Evacuated bool
 }
 
 // Usable reports whether new requests may be sent to the endpoint.
 func (e Endpoint) Usable(now time.Time) bool {
-	return !e.Draining && (e.LapsedAt.IsZero() || now.Before(e.lapseEnd))
+	return !e.Draining && !e.Evacuated && (e.LapsedAt.IsZero() || now.Before(e.lapseEnd))
 }
 
 // State is an immutable snapshot of the configuration and the endpoints.
@@ -74,12 +80,19 @@
 	Table *matcher.Table
 	// byService maps a service to its endpoints, ordered by ID.
 	byService map[string][]Endpoint
+	// evacuated holds the names of the evacuated failure domains.
+	evacuated map[string]bool
 }
 
-// NewState returns a state with the table, which may be nil, and the endpoints.
-func NewState(table *matcher.Table, endpoints []Endpoint) *State {
-	s := &State{Table: table, byService: map[string][]Endpoint{}}
+// NewState returns a state with the table, which may be nil, the endpoints, and the names
+// of the evacuated failure domains.
+func NewState(table *matcher.Table, endpoints []Endpoint, evacuated ...string) *State {
+	s := &State{Table: table, byService: map[string][]Endpoint{}, evacuated: map[string]bool{}}
+	for _, domain := range evacuated {
+		s.evacuated[domain] = true
+	}
 	for _, e := range endpoints {
+		e.Evacuated = s.evacuated[e.FailureDomain]
 		s.byService[e.Service] = append(s.byService[e.Service], e)
 	}
 	for _, group := range s.byService {
@@ -93,6 +106,12 @@
 	return s.byService[service]
 }
 
+// IsEvacuated reports whether the operators ask for the evacuation of the failure domain.
+func (s *State) IsEvacuated(domain string) bool { return s.evacuated[domain] }
+
+// EvacuatedCount returns the number of evacuated failure domains.
+func (s *State) EvacuatedCount() int { return len(s.evacuated) }
+
 // AllEndpoints returns the endpoints of all services, in no particular order.
 func (s *State) AllEndpoints() []Endpoint {
 	var all []Endpoint
@@ -133,6 +152,9 @@
 	// The fields below are accessed only by the goroutine of Run.
 	table     *matcher.Table
 	endpoints map[string]Endpoint
+	// evacuations holds the evacuated failure domains by name. An outage of the store
+	// does not change it.
+	evacuations map[string]evacuation
 	// position is that of the content applied last. Its revision is zero if all keys
 	// have to be read; its era never falls.
 	position bergamotdale.Position
@@ -181,7 +203,7 @@
 // returns only the error of the context.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.endpoints, s.departures = map[string]Endpoint{}, map[string]departure{}
-	s.doubted = map[string]bergamotdale.Entry{}
+	s.doubted, s.evacuations = map[string]bergamotdale.Entry{}, map[string]evacuation{}
 	delay := retryDelay
 	for ctx.Err() == nil {
 		started := s.Elapsed()
@@ -254,6 +276,7 @@
 		stateChanged = s.dropUnexcused() || stateChanged
 	}
 	stateChanged = s.endDoubts() || stateChanged
+	stateChanged = s.endOldEvacuations() || stateChanged
 	s.position = batch.Position()
 	s.era.Store(batch.Era)
 	confirmedAt := started - batch.Lag
@@ -317,6 +340,7 @@
 			delete(s.doubted, id)
 		}
 	}
+	s.replaceEvacuations(present)
 }
 
 // applyEntry applies the current value of a key and reports whether the state
@@ -325,6 +349,9 @@
 	if e.Key == s.Layout.ConfigKey {
 		return s.applyConfig(e)
 	}
+	if domain, isKey, ok := s.evacuatedDomain(e.Key); isKey {
+		return s.applyEvacuation(e, domain, ok)
+	}
 	id, found := strings.CutPrefix(e.Key, s.Layout.EndpointPrefix)
 	if !found {
 		return false
@@ -388,6 +415,9 @@
 // applyDeletion applies the deletion of a key and reports whether the state has to
 // be published. Endpoints whose records lapse are kept for LapseGrace.
 func (s *Subscriber) applyDeletion(key string) bool {
+	if domain, isKey, _ := s.evacuatedDomain(key); isKey {
+		return s.endEvacuation(domain)
+	}
 	id, found := strings.CutPrefix(key, s.Layout.EndpointPrefix)
 	if !found {
 		return false
@@ -456,7 +486,7 @@
 	for _, e := range s.endpoints {
 		endpoints = append(endpoints, e)
 	}
-	state := NewState(s.table, endpoints)
+	state := NewState(s.table, endpoints, slices.Collect(maps.Keys(s.evacuations))...)
 	s.current.Store(state)
 	if s.OnChange != nil {
 		s.OnChange(state)
