--- a/engineclient/engineclient_test.go
+++ b/engineclient/engineclient_test.go
@@ -1,6 +1,7 @@
 package engineclient_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -158,3 +159,31 @@
 	assert.Equal(t, end2.Checksum, "")
 	assert.Equal(t, end2.Length, 20)
 }
+
+// Guards against a completion that is reported as not run after a response that does not
+// say so: one with an impossible status, or one below 400 that is no stream.
+func TestStatusThatDoesNotTellTheOutcome(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "600", "999", "204", "302"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
+					_, _ = c.Read(make([]byte, 1))
+				}
+			}()
+			_, err = (&engineclient.Client{}).Complete(context.Background(), l.Addr().String(), bergamotdale.EngineRequest{RequestID: "r", Body: []byte(body)})
+			refusal := &bergamotdale.Refusal{}
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeUnknown)
+		})
+	}
+}
--- a/serviceclient/serviceclient_test.go
+++ b/serviceclient/serviceclient_test.go
@@ -1,9 +1,12 @@
 package serviceclient_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -99,3 +102,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Status, http.StatusNotFound)
 }
+
+// Guards against a response with an impossible status that is passed on: the server of the
+// router can't write it, and the client can't read it.
+func TestImpossibleStatus(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "600", "999"} {
+		address := serveOnce(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+		_, err := (&serviceclient.Client{}).Call(context.Background(), address, bergamotdale.ServiceRequest{Call: "book"})
+		refusal := &bergamotdale.Refusal{}
+		assert.Assert(t, errors.As(err, &refusal), "status %s: %v", status, err)
+		assert.Equal(t, refusal.Outcome, bergamotdale.OutcomeUnknown)
+	}
+}
+
+// serveOnce starts a server that answers the first request with the text.
+func serveOnce(t *testing.T, text string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, text)
+			_, _ = c.Read(make([]byte, 1))
+		}
+	}()
+	return l.Addr().String()
+}
