verifier, dialer, requester: a reset during an upload is no end of a response

Ruled out: waiting for the outcome of the write alone, since it takes until the deadline if the endpoint has ended its response in order and reads no more, and since a write whose data fits into the buffers of the socket succeeds before the reset; the error of the write (ECONNRESET or EPIPE), for the same reasons.

Change: verifier.Conn, under each connection of dialer and requester, looks at the state of the socket when a read returns the end of the stream. It is orderly only in the state close-wait: a FIN and no reset. While the endpoint has not confirmed all that was written, a reset may be on its way, so the read waits for it for up to 400 ms. Then the end is orderly: the endpoint has read as much as it wanted and keeps the other direction open. A reset after the FIN counts as a reset, because the kernel of a killed process sends just that.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -21,6 +21,8 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
+
+	"github.com/bergamotdale/bergamotdale/verifier"
 )
 
 const (
@@ -156,11 +158,20 @@
 // Age returns the time since the connection was opened, or a little more.
 func (d *Dialer) Age(c *Conn) time.Duration { return d.elapsed() - c.openedAt }
 
-// dial opens a TCP connection that detects a dead peer.
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// dial opens a TCP connection that detects a dead peer, and whose end is not mistaken for
+// that of a response.
+func dial(ctx context.Context, address string) (*verifier.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
-	return conn, errors.Annotatef(err, "connecting to %s", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connecting to %s", address)
+	}
+	verified, err := verifier.New(conn)
+	if err != nil {
+		conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return verified, nil
 }
 
 // Probe opens and closes a connection to the address, and returns an error if
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/bergamotdale/bergamotdale/verifier"
 )
 
 // CallerHeader names the process that sends a request. The fake engines and
@@ -122,7 +124,12 @@
 				if err != nil {
 					return nil, errors.Trace(err)
 				}
-				return &trackedConn{Conn: conn}, nil
+				verified, err := verifier.New(conn)
+				if err != nil {
+					conn.Close()
+					return nil, errors.Trace(err)
+				}
+				return &trackedConn{Conn: verified}, nil
 			},
 			DisableCompression: true,
 			// The default of 10 MB is more than a small VM can spare.
