dialer, requester, engineclient: an impossible status fails the exchange

Cause: http.ReadResponse accepts any number below 1,000. dialer took every status below 200 for an informational one and read on, so that the text of the body became the response; 600 to 999 were passed on. net/http's Transport skips only 100 to 199, so requester returned all of them. engineclient counted every status below 500 as not run, 204 and 302 too, although an engine promises that only for 400 to 499 and 503.

Change: a final status outside 200 to 599 is an error of the exchange, the connection is closed, the outcome is unknown.

--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -30,6 +30,11 @@
 	// ErrHeadTooLarge is the error of an exchange whose response has more header
 	// bytes than Dialer.MaxHead.
 	ErrHeadTooLarge = errors.ConstError("the headers of the response exceed the limit")
+	// ErrInvalidStatus is the error of an exchange whose response has a status that no
+	// response to it can have.
+	ErrInvalidStatus = errors.ConstError("the status of the response is invalid")
+	// maxStatus is the largest valid status (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // Request is an HTTP request to an endpoint.
@@ -221,15 +226,19 @@
 }
 
 // readFinal returns the next response that is final: it skips informational (1xx)
-// ones except 101 Switching Protocols, the last HTTP response on a connection. The
-// limit of the headers applies to all of them together.
+// ones. The limit of the headers applies to all of them together. An invalid status is an
+// error, and so is 101 Switching Protocols, because no request asks for another protocol:
+// where such a response ends is not known.
 func (x *Exchange) readFinal(req *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
 			return nil, errors.Annotate(err, "reading the HTTP response headers")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+			return nil, errors.Annotatef(ErrInvalidStatus, "status %q", response.Status)
+		case status >= http.StatusOK:
 			return response, nil
 		}
 	}
--- a/engineclient/engineclient.go
+++ b/engineclient/engineclient.go
@@ -87,11 +87,10 @@
 
 // refusalFromResponse converts an error response of the completions API. An engine
 // sends the statuses 400 to 499 and 503 before it starts to generate, so these count
-// as not-run. A status of 500 or more other than 503 leaves the outcome unknown
-// unless the body states it.
+// as not-run. Any other status leaves the outcome unknown unless the body states it.
 func refusalFromResponse(ctx context.Context, address string, resp *http.Response) *bergamotdale.Refusal {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readBody(resp)
 	if err != nil {
 		return requester.RefusalFromError(ctx, err, "engine %s", address)
 	}
@@ -101,12 +100,23 @@
 	}
 	r := bergamotdale.Refuse(codeForStatus(resp.StatusCode), "engine %s responded with status %d", address, resp.StatusCode)
 	r.RetryAfter = requester.ParseRetryAfter(resp)
-	if resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable {
+	isClientError := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+	if !isClientError && resp.StatusCode != http.StatusServiceUnavailable {
 		return r.WithOutcome(bergamotdale.OutcomeUnknown)
 	}
 	return r
 }
 
+// readBody reads the body of a control or error response. It returns an error for one that
+// is larger than maxResponseBytes.
+func readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Errorf("the response is larger than %d bytes", maxResponseBytes)
+	}
+	return body, errors.Trace(err)
+}
+
 // codeForStatus returns the code of a refusal by an engine with the HTTP status.
 func codeForStatus(status int) bergamotdale.Code {
 	switch status {
@@ -119,7 +129,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return bergamotdale.CodeEndpointRefused
 	}
-	if status < http.StatusInternalServerError {
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 		return bergamotdale.CodeEndpointRefused
 	}
 	return bergamotdale.CodeEndpointFailed
@@ -180,7 +190,7 @@
 		return nil, refusalFromResponse(ctx, address, resp)
 	}
 	defer resp.Body.Close()
-	responseBody, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	responseBody, err := readBody(resp)
 	if err != nil {
 		return nil, requester.RefusalFromError(ctx, err, "engine %s", address)
 	}
--- a/engineclient/engineclient_test.go
+++ b/engineclient/engineclient_test.go
@@ -187,3 +187,17 @@
 		})
 	}
 }
+
+// Guards against a control response above the limit that is cut off and taken for a
+// complete one.
+func TestLargeControlResponse(t *testing.T) {
+	const limit = 16 << 20
+	for size, ok := range map[int]bool{limit: true, limit + 1: false} {
+		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "{}"+strings.Repeat(" ", size-2))
+		}))
+		_, err := (&engineclient.Client{}).Load(context.Background(), strings.TrimPrefix(h.URL, "http://"))
+		assert.Equal(t, err == nil, ok, "%d bytes: %v", size, err)
+		h.Close()
+	}
+}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -44,11 +44,18 @@
 	maxSendAttempts = 3
 )
 
+// ErrInvalidStatus is the cause of an Error after a response with a status that no response
+// to the request can have.
+const ErrInvalidStatus = errors.ConstError("the status of the response is invalid")
+
+// maxStatus is the largest valid status (RFC 9110, section 15).
+const maxStatus = 599
+
 // keepAlive detects within 8 s a connection whose state a network device on the path
 // has dropped. A blocking watch of the store has no heartbeats that would detect it.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 
-// Error is the error of a request that got no response.
+// Error is the error of a request that got no valid response.
 type Error struct {
 	// Written is false only if no byte of the request was written and none will
 	// be.
@@ -77,16 +84,22 @@
 	httpClient *http.Client
 }
 
-// Do sends the request and returns the response when its headers have arrived.
-// Every error is an *Error.
+// Do sends the request and returns the response when its headers have arrived. A response
+// with an invalid status is an error. Every error is an *Error.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	c.initOnce.Do(c.init)
 	for attempt := 1; ; attempt++ {
 		tracker := &connTracker{}
 		resp, err := c.send(req, tracker)
-		if err == nil {
+		if err == nil && isFinalStatus(resp.StatusCode) {
 			return resp, nil
 		}
+		if err == nil {
+			// The connection may be in the pool already if the response has no body.
+			tracker.closeConns()
+			resp.Body.Close()
+			return nil, &Error{Written: true, Err: errors.Annotatef(ErrInvalidStatus, "status %q", resp.Status)}
+		}
 		written, onReusedConn := tracker.disableWrites()
 		connWasClosed := !written && onReusedConn && req.Context().Err() == nil
 		if !connWasClosed || attempt == maxSendAttempts {
@@ -95,6 +108,10 @@
 	}
 }
 
+// isFinalStatus reports whether a final response can have the status. net/http skips
+// informational responses but 101 Switching Protocols, for which no request asks.
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // send sends the request once.
 func (c *Client) send(req *http.Request, tracker *connTracker) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: tracker.recordConn})
@@ -199,3 +216,12 @@
 	}
 	return written, t.reused
 }
+
+// closeConns closes the connections that the request has used.
+func (t *connTracker) closeConns() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		c.Close()
+	}
+}
