auditor, commander, platform: a traffic configuration is checked before it is sent

Cause: a router follows any document that decodes. A misspelled field, a route behind another one, a key held by two workspaces or a version that does not rise shows only in the traffic.

Change: `bergamotdale check-traffic FILE [--in-force FILE] [--format text|json]`. auditor decides on the decoded form, without I/O: entries that never match, limits that contradict each other, differences from the version in force. platform finds what decoding loses (unknown, repeated and misspelled fields, types, cut numbers) and translates paths into those of the document.

Measured: tests of auditor, commander, verifier, dialer, server, relayer with -race pass.

--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -13,13 +13,16 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/auditor"
 	"github.com/bergamotdale/bergamotdale/commander"
 	"github.com/bergamotdale/bergamotdale/gateway"
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/logger"
 	"github.com/bergamotdale/bergamotdale/platform"
 	"github.com/bergamotdale/bergamotdale/recorder"
+	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/router"
+	"github.com/bergamotdale/bergamotdale/server"
 )
 
 func main() {
@@ -27,6 +30,11 @@
 	c := commander.Commander{
 		Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now,
 		RunRouter: runRouter, RunGateway: runGateway, GatewaySettings: platform.SettingsFile(),
+		TrafficDialect: platform.Dialect{},
+		TrafficBounds: auditor.Bounds{
+			HeaderBytes: server.MaxHeaderBytes, HeaderTimeout: server.ReadHeaderTimeout,
+			DefaultTimeout: relayer.DefaultTimeout, DefaultIdleTimeout: server.DefaultIdleTimeout,
+		},
 	}
 	code := c.Run(ctx, os.Args[1:])
 	stop()
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -8,6 +8,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
 
+	"github.com/bergamotdale/bergamotdale/auditor"
 	"github.com/bergamotdale/bergamotdale/decoder"
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/operator"
@@ -38,6 +39,10 @@
 	// path of its settings file unless --settings is given.
 	RunGateway      func(ctx context.Context, file string, s *loader.GatewaySettings) error
 	GatewaySettings string
+	// TrafficDialect reads the traffic configuration of gateways, and TrafficBounds are
+	// what a gateway accepts whatever it says.
+	TrafficDialect TrafficDialect
+	TrafficBounds  auditor.Bounds
 	// Now returns the current time, which durations in --since and --until are
 	// subtracted from.
 	Now func() time.Time
@@ -66,6 +71,8 @@
 	settings string
 	gateway  bool
 	logs     []string
+	inForce  string
+	format   string
 }
 
 // command is a subcommand and the function that runs it.
@@ -142,14 +149,19 @@
 	checkSettings := subcommand("check", "validate a settings file and print every problem")
 	checkSettings.AddPositionalValue(&c.flags.file, "FILE", 1, true, "settings file of a router or gateway")
 	checkSettings.Bool(&c.flags.gateway, "", "gateway", "the file holds the settings of a gateway")
+	checkTraffic := subcommand("check-traffic", "check a traffic configuration document of gateways before it is sent")
+	checkTraffic.AddPositionalValue(&c.flags.file, "FILE", 1, true, "document to check")
+	checkTraffic.String(&c.flags.inForce, "", "in-force", "document in force, to compare with")
+	c.flags.format = formatText
+	checkTraffic.String(&c.flags.format, "", "format", "text or json")
 	versionCommand := subcommand("version", "print the version")
-	for _, sc := range []*flaggy.Subcommand{config, status, timeline, router, gateway, checkSettings, versionCommand} {
+	for _, sc := range []*flaggy.Subcommand{config, status, timeline, router, gateway, checkSettings, checkTraffic, versionCommand} {
 		parser.AttachSubcommand(sc, 1)
 	}
 	return []command{
 		{get, c.getConfig}, {check, c.checkConfig}, {apply, c.applyConfig}, {history, c.listRevisions}, {wait, c.waitForRevision},
 		{status, c.showStatus}, {timeline, c.showTimeline}, {router, c.startRouter}, {gateway, c.startGateway},
-		{checkSettings, c.checkSettings}, {versionCommand, c.printVersion},
+		{checkSettings, c.checkSettings}, {checkTraffic, c.checkTraffic}, {versionCommand, c.printVersion},
 	}
 }
 
@@ -168,6 +180,8 @@
 	}
 	var problems decoder.Problems
 	switch {
+	case errors.Is(err, errFaults):
+		return ExitFailure
 	case errors.As(err, &problems):
 		if !c.flags.json {
 			c.warnf("%s", problems)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -15,6 +15,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -109,8 +110,16 @@
 
 	// probes merges concurrent probes of the same address.
 	probes singleflight.Group
+
+	// invalidResponses counts the responses with an invalid status and those without a
+	// length whose connection was reset.
+	invalidResponses atomic.Int64
 }
 
+// InvalidResponses returns the number of responses with an invalid status, and of those
+// without a length whose connection was reset before their end.
+func (d *Dialer) InvalidResponses() int64 { return d.invalidResponses.Load() }
+
 // processStart is the origin of the default of Dialer.Elapsed.
 var processStart = time.Now()
 
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -237,6 +238,7 @@
 		}
 		switch status := response.StatusCode; {
 		case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+			x.dialer.invalidResponses.Add(1)
 			return nil, errors.Annotatef(ErrInvalidStatus, "status %q", response.Status)
 		case status >= http.StatusOK:
 			return response, nil
@@ -246,11 +248,14 @@
 
 // Read reads the body of the response. It returns io.EOF only at the end of the
 // body: where Content-Length or chunked encoding says that it ends, or where the
-// endpoint closes the connection if the response has neither.
+// endpoint ends the connection without a reset if the response has neither.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		x.bodyComplete = true
+	case !x.HasBodyLength() && errors.Is(err, syscall.ECONNRESET):
+		x.dialer.invalidResponses.Add(1)
 	}
 	return n, err
 }
--- a/dialer/partial_test.go
+++ b/dialer/partial_test.go
@@ -91,6 +91,7 @@
 				}
 			}
 			assert.Equal(t, complete, 0, "parts taken for complete, of %d", rounds)
+			assert.Assert(t, d.InvalidResponses() > 0)
 		})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -286,6 +286,8 @@
 			func() int64 { return int64(g.pinner.PinCount()) }},
 		{"bergamotdale.doubtful.choices", "choices of an endpoint while the router did not know in time which endpoints leave",
 			g.doubtfulChoices.Load},
+		{"bergamotdale.responses.invalid", "responses of endpoints with an invalid status, or without a length and cut by a reset",
+			g.relayer.Dialer.InvalidResponses},
 	} {
 		if err := g.meter.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
 			return errors.Trace(err)
--- a/traffic.go
+++ b/traffic.go
@@ -103,6 +103,14 @@
 	Workspaces []WorkspaceKeys
 }
 
+// DocumentFault is a fault of a configuration document that its decoded form does not show,
+// for example a field that no reader knows.
+type DocumentFault struct {
+	// Path locates the value in the document, empty for the whole document.
+	Path    string
+	Message string
+}
+
 // EndpointRecord is the record with which an endpoint registers itself.
 type EndpointRecord struct {
 	// ID changes with most restarts of the endpoint, but not with all.
