--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -15,12 +15,15 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
+
+	"github.com/bergamotdale/bergamotdale/verifier"
 )
 
 const (
@@ -107,8 +110,16 @@
 
 	// probes merges concurrent probes of the same address.
 	probes singleflight.Group
+
+	// invalidResponses counts the responses with an invalid status and those without a
+	// length whose connection was reset.
+	invalidResponses atomic.Int64
 }
 
+// InvalidResponses returns the number of responses with an invalid status, and of those
+// without a length whose connection was reset before their end.
+func (d *Dialer) InvalidResponses() int64 { return d.invalidResponses.Load() }
+
 // processStart is the origin of the default of Dialer.Elapsed.
 var processStart = time.Now()
 
@@ -156,11 +167,20 @@
 // Age returns the time since the connection was opened, or a little more.
 func (d *Dialer) Age(c *Conn) time.Duration { return d.elapsed() - c.openedAt }
 
-// dial opens a TCP connection that detects a dead peer.
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// dial opens a TCP connection that detects a dead peer, and whose end is not mistaken for
+// that of a response.
+func dial(ctx context.Context, address string) (*verifier.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
-	return conn, errors.Annotatef(err, "connecting to %s", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connecting to %s", address)
+	}
+	verified, err := verifier.New(conn)
+	if err != nil {
+		conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return verified, nil
 }
 
 // Probe opens and closes a connection to the address, and returns an error if
