reserver: one budget for what requests hold; wired in relayer, server and gateway

Cause: relayer read each body with io.ReadAll (a doubling buffer, nothing reserved), dialer copied it once more, net/http read up to 256 KiB of a refused body without a time limit, a response that its client leaves unread had no write deadline, and the kernel let the receive buffer of a connection grow to 2.3 MB (measured: read 4 MiB fast, then stall).

Change: - reserver (new, no I/O) decides who may hold memory, who is refused (503, code 312) and who gives way (408, code 108): announced sizes are reserved before the first byte, others as they grow; requests that wait for their client and are overdue give way to others. - budgeter.DivideMemory divides the memory of the settings: 30 in 100 for requests, 20 for connections, from which their number and the size of receive buffers follow. - relayer holds a body once, in parts of 32 KiB; dialer writes head and parts without a copy beyond the first packet. dialer.Request.Body is now a list of parts. - responses have a write deadline 2 s after that of the request; what a refusal leaves unread is read for 0.5 s at most. - server bounds the connections that are open, not only those that are served, lets a stalled request give way when all are in use, and bounds HTTP/2 streams and buffers.

Ruled out: stalls of small receive buffers on loopback. 4 MiB through the router take 49 ms (median of 40) with 8 KiB, 32 ms with 23 KiB, 28 ms with 64 KiB.

go test -race of reserver, budgeter, quarantiner, dialer, relayer, server, responder and the root package passes. In platform two tests failed: TestEndpointRecord (ColdFor 12.5ms for 0s), which fails the same way before this commit, and once TestStopUnderLoad (router-3 did not stop within 6s, load 34); 2 of 2 passed right after.

--- a/code.go
+++ b/code.go
@@ -33,6 +33,9 @@
 	CodeKeyReused          Code = 105
 	CodeInvalidCredentials Code = 106
 	CodeHeaderTooLarge     Code = 107
+	// CodeBodyTooSlow is that of a request whose body arrived too slowly while the router
+	// needed the memory for others.
+	CodeBodyTooSlow Code = 108
 )
 
 // Codes that depend on the configuration in force.
@@ -61,6 +64,8 @@
 	CodeVersionGone      Code = 310
 	// CodeTooManyConnections is that of a request on a connection in excess.
 	CodeTooManyConnections Code = 311
+	// CodeMemoryExhausted is that of a request that the router cannot hold now.
+	CodeMemoryExhausted Code = 312
 )
 
 // Codes of calls that may be executed at most once.
@@ -105,6 +110,7 @@
 	CodeKeyReused:            {"idempotency-key-reused", http.StatusUnprocessableEntity, false},
 	CodeInvalidCredentials:   {"invalid-credentials", http.StatusUnauthorized, false},
 	CodeHeaderTooLarge:       {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, false},
+	CodeBodyTooSlow:          {"body-too-slow", http.StatusRequestTimeout, true},
 	CodeUnknownWorkspace:     {"unknown-workspace", http.StatusNotFound, false},
 	CodeUnknownModel:         {"unknown-model", http.StatusNotFound, false},
 	CodeUnknownService:       {"unknown-service", http.StatusNotFound, false},
@@ -124,6 +130,7 @@
 	CodeVersionUnknown:       {"version-unknown", http.StatusServiceUnavailable, false},
 	CodeVersionGone:          {"version-gone", http.StatusServiceUnavailable, false},
 	CodeTooManyConnections:   {"too-many-connections", http.StatusServiceUnavailable, true},
+	CodeMemoryExhausted:      {"memory-exhausted", http.StatusServiceUnavailable, true},
 	CodeInProgress:           {"in-progress", http.StatusConflict, true},
 	CodeOutcomeUnknown:       {"outcome-unknown", http.StatusConflict, false},
 	CodeStoreUnavailable:     {"store-unavailable", http.StatusServiceUnavailable, true},
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -43,6 +43,9 @@
 	maxIdlePerEndpoint = 16
 	// DefaultMaxHead is the default of Dialer.MaxHead in bytes.
 	DefaultMaxHead = 16 << 10
+	// maxUnsent bounds how much of a request the kernel copies, in bytes, beyond what it
+	// has sent already.
+	maxUnsent = 64 << 10
 	// bufferSize is the size of a read buffer in bytes. It is large enough for
 	// the headers of a response and for its events.
 	bufferSize = 2 << 10
@@ -94,6 +97,10 @@
 	MaxHead int
 	// MaxIdle bounds the idle connections to all endpoints. Zero means no bound.
 	MaxIdle int
+	// ReceiveBuffer is the size of the receive buffer of new connections, in bytes. It
+	// bounds what endpoints have sent while clients do not read. Zero leaves it to the
+	// system, which lets it grow to several MiB.
+	ReceiveBuffer int
 	// Elapsed returns a monotonic time. It should advance while the VM is suspended:
 	// an endpoint that closed an idle connection meanwhile would lose the next
 	// request on it. Nil selects the monotonic clock of package time.
@@ -146,7 +153,7 @@
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	openedAt := d.elapsed()
-	conn, err := dial(ctx, address)
+	conn, err := d.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -157,9 +164,9 @@
 func (d *Dialer) Age(c *Conn) time.Duration { return d.elapsed() - c.openedAt }
 
 // dial opens a TCP connection that detects a dead peer.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	netDialer := net.Dialer{KeepAliveConfig: keepAlive, Control: d.setOptions}
+	conn, err := netDialer.DialContext(ctx, "tcp", address)
 	return conn, errors.Annotatef(err, "connecting to %s", address)
 }
 
@@ -169,7 +176,7 @@
 	_, err, _ := d.probes.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 		defer cancel()
-		conn, err := dial(ctx, address)
+		conn, err := d.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -178,12 +185,18 @@
 	return err
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket, so that writes to a peer that
-// is gone fail.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets TCP_USER_TIMEOUT on a socket, so that writes to a peer that is gone
+// fail, and bounds its buffers.
+func (d *Dialer) setOptions(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
 		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		if sockoptErr == nil && d.ReceiveBuffer > 0 {
+			sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, d.ReceiveBuffer)
+		}
+		if sockoptErr == nil {
+			sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+		}
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -195,7 +195,7 @@
 	c, err := d.Get(ctx, l.Addr().String())
 	assert.NilError(t, err)
 	long := request
-	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	long.Method, long.Body = http.MethodPost, [][]byte{[]byte(strings.Repeat("x", 32<<20))}
 	x, err := d.Send(ctx, c, long)
 	assert.NilError(t, err)
 	assert.Equal(t, x.Response.StatusCode, 413)
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -39,7 +39,8 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is sent as it is, part after part. It is not changed.
+	Body [][]byte
 	// MatchesResponse reports whether a response with these headers belongs to
 	// this request. Responses that do not match are skipped.
 	MatchesResponse func(http.Header) bool
@@ -100,17 +101,17 @@
 	c.reader.Reset(c.limiter)
 	x := &Exchange{dialer: d, conn: c, writeResult: make(chan error, 1)}
 	x.stopAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() })
-	message, err := r.encode()
+	message, err := r.encodeHead()
 	if err != nil {
 		r.reportWritten()
 		x.Close()
 		return nil, &ExchangeError{Err: err}
 	}
-	if len(message) <= maxSyncWrite {
-		x.writeRequest(message, r.reportWritten)
+	if len(message)+r.bodySize() <= maxSyncWrite {
+		x.writeRequest(message, r)
 	} else {
 		// The endpoint may respond before it has read the whole request.
-		go x.writeRequest(message, r.reportWritten)
+		go x.writeRequest(message, r)
 	}
 	//nolint:bodyclose // Exchange.Close releases the body along with the connection.
 	response, err := x.readResponse(r)
@@ -132,20 +133,53 @@
 	}
 }
 
-// writeRequest writes the encoded request and passes the outcome to writeResult. It
-// calls onWritten after the first part, which does not block.
-func (x *Exchange) writeRequest(message []byte, onWritten func()) {
-	n := min(len(message), maxSyncWrite)
-	_, err := x.conn.Write(message[:n])
-	onWritten()
-	if err == nil && n < len(message) {
-		_, err = x.conn.Write(message[n:])
+// writeRequest writes the encoded head and the body, and passes the outcome to
+// writeResult. It calls OnWritten after the first part, which does not block. Only as much
+// of the body is copied as fits into one packet with the head.
+func (x *Exchange) writeRequest(head []byte, r Request) {
+	first, rest := head, r.Body
+	for len(rest) > 0 && len(first)+len(rest[0]) <= maxSyncWrite {
+		first, rest = append(first, rest[0]...), rest[1:]
+	}
+	n := min(len(first), maxSyncWrite)
+	_, err := x.conn.Write(first[:n])
+	r.reportWritten()
+	if err == nil && n < len(first) {
+		_, err = x.conn.Write(first[n:])
+	}
+	for _, part := range rest {
+		if err != nil {
+			break
+		}
+		_, err = x.conn.Write(part)
 	}
 	x.writeResult <- err
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func (r Request) encode() ([]byte, error) {
+// bodySize returns the size of the body in bytes.
+func (r Request) bodySize() int {
+	size := 0
+	for _, part := range r.Body {
+		size += len(part)
+	}
+	return size
+}
+
+// headEnd is the body of a request that is encoded only up to the end of its headers: it
+// fails when it is read.
+type headEnd struct{ reached bool }
+
+// errHeadEnd is the error of a read of headEnd.
+const errHeadEnd = errors.ConstError("the body is written separately")
+
+// Read implements io.Reader.
+func (e *headEnd) Read([]byte) (int, error) {
+	e.reached = true
+	return 0, errHeadEnd
+}
+
+// encodeHead returns the request in the HTTP/1.1 wire format, without its body.
+func (r Request) encodeHead() ([]byte, error) {
 	if strings.HasPrefix(r.URI, "//") {
 		return nil, errors.Errorf("request target %q would be read as a host", r.URI)
 	}
@@ -160,13 +194,15 @@
 		Host:   r.Host,
 		Header: header,
 	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-		req.ContentLength = int64(len(r.Body))
+	end := &headEnd{}
+	if size := r.bodySize(); size > 0 {
+		req.Body = io.NopCloser(end)
+		req.ContentLength = int64(size)
 	}
 	var buffer bytes.Buffer
-	buffer.Grow(len(r.Body) + 1<<10)
-	if err := req.Write(&buffer); err != nil {
+	buffer.Grow(1 << 10)
+	// net/http writes the whole head before it reads the body.
+	if err := req.Write(&buffer); err != nil && !end.reached {
 		return nil, errors.Annotate(err, "encoding the HTTP request")
 	}
 	return buffer.Bytes(), nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
 	"github.com/bergamotdale/bergamotdale/replicator"
+	"github.com/bergamotdale/bergamotdale/reserver"
 	"github.com/bergamotdale/bergamotdale/selfmonitor"
 	"github.com/bergamotdale/bergamotdale/server"
 	"github.com/bergamotdale/bergamotdale/subscriber"
@@ -99,6 +100,8 @@
 	meter       *meter.Meter
 	selfMonitor *selfmonitor.Monitor
 	descriptors budgeter.Descriptors
+	memory      budgeter.Memory
+	reserver    *reserver.Reserver
 	// clientServer serves clients.
 	clientServer *server.Server
 
@@ -171,8 +174,9 @@
 	g.descriptors = budgeter.DivideDescriptors(descriptors)
 	g.Logger.Info("descriptors divided", zap.Int("limit", descriptors), zap.Int("clients", g.descriptors.Clients),
 		zap.Int("idle-endpoints", g.descriptors.IdleEndpoints))
+	g.divideMemory()
 	g.tracker = tracker.New()
-	g.dialer = &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
+	g.dialer = &dialer.Dialer{ReceiveBuffer: g.memory.ReceiveBuffer, MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
@@ -244,6 +248,7 @@
 		Pins:           g.pinner,
 		Health:         g.selfMonitor,
 		Clock:          g.clock,
+		Reserver:       g.reserver,
 		Logger:         g.Logger.Named("relayer"),
 		StartupGate:    startupGate,
 		Routers:        func() int { return max(1, len(g.gossiper.Live())) },
@@ -286,6 +291,16 @@
 			func() int64 { return int64(g.pinner.PinCount()) }},
 		{"bergamotdale.doubtful.choices", "choices of an endpoint while the router did not know in time which endpoints leave",
 			g.doubtfulChoices.Load},
+		{"bergamotdale.memory.capacity", "bytes that requests in progress may hold together",
+			func() int64 { return g.reserver.Stats().Capacity }},
+		{"bergamotdale.memory.reserved", "bytes that requests in progress hold",
+			func() int64 { return g.reserver.Stats().Reserved }},
+		{"bergamotdale.memory.refused", "times that a request was refused memory since the start",
+			func() int64 { return g.reserver.Stats().Refused }},
+		{"bergamotdale.memory.dropped", "requests that gave way since the start because their clients were too slow",
+			func() int64 { return g.reserver.Stats().Dropped }},
+		{"bergamotdale.connections.rejected", "connections of clients that were closed at once since the start, as too many were open",
+			func() int64 { return g.clientServer.Rejected() }},
 	} {
 		if err := g.meter.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
 			return errors.Trace(err)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -43,8 +43,7 @@
 		servers = append(servers, srv)
 	}
 	g.clientServer = servers[0]
-	g.clientServer.SetMaxConns(g.descriptors.Clients)
-	return servers, nil
+	return servers, errors.Trace(g.boundClients(g.clientServer))
 }
 
 // peerHandler returns the handler of messages from other routers.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -53,7 +53,7 @@
 		return bergamotdale.Refuse(bergamotdale.CodeStopping, "this router is stopping").After(stoppingRetryAfter)
 	case server.IsExcess(ctx):
 		return bergamotdale.Refuse(bergamotdale.CodeTooManyConnections, "this router serves %d connections already, each with a request in progress",
-			g.descriptors.Clients).After(excessRetryAfter)
+			g.servedConnections()).After(excessRetryAfter)
 	default:
 		return nil
 	}
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -18,10 +18,12 @@
 // FingerprintOf returns the hash of workspace, model and body. The hash is
 // cryptographic, so that a client cannot construct a request that gets another
 // client's request refused.
-func FingerprintOf(workspace, model string, body []byte) Fingerprint {
+func FingerprintOf(workspace, model string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	h.Write(fmt.Appendf(nil, "%d:%s%d:%s", len(workspace), workspace, len(model), model))
-	h.Write(body)
+	for _, part := range body {
+		h.Write(part)
+	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -237,11 +237,11 @@
 }
 
 // relayPlain relays a response that is not an event stream. One of less than
-// maxBufferedBody bytes is read completely before the client gets any of it.
+// maxBufferedBody bytes is read completely before the client gets any of it, as far as
+// there is memory for it.
 func (j *job) relayPlain(target subscriber.Endpoint, exchange *dialer.Exchange, monitor *watchdog.Watchdog) *failure {
 	body := watchedReader{exchange, monitor}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
-	complete := err == nil && len(buffered) < maxBufferedBody
+	buffered, complete, err := j.readBuffered(body)
 	if err != nil {
 		fail := unknownOutcomeFailure(err, "the response from endpoint %s was cut off", target.ID)
 		fail.truncated = true
@@ -268,7 +268,7 @@
 	}
 	if !complete {
 		limit := j.relayer.limits.Load().maxResponse() - int64(len(buffered))
-		n, err := io.Copy(j.writer, io.LimitReader(exchange, limit+1))
+		n, err := io.CopyBuffer(j.writer, io.LimitReader(exchange, limit+1), buffered[:cap(buffered)])
 		if err == nil && n > limit {
 			err = errors.Errorf("the body is larger than %d bytes", limit+int64(len(buffered)))
 		}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -28,11 +28,15 @@
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/pinner"
 	"github.com/bergamotdale/bergamotdale/relayer"
+	"github.com/bergamotdale/bergamotdale/reserver"
 	"github.com/bergamotdale/bergamotdale/selfmonitor"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
 )
 
+// testMemory is what the requests of a test may hold, in bytes.
+const testMemory = 32 << 20
+
 // testDialect implements bergamotdale.Dialect with short header names of its own
 // and JSON documents.
 type testDialect struct{}
@@ -309,6 +313,7 @@
 		ProcessRefusal: func(context.Context) *bergamotdale.Refusal { return nil },
 		OnFinished:     func(relayer.Report) {},
 		StartupGate:    relayer.NewStartupGate(time.Minute),
+		Reserver:       reserver.New(testMemory, 0),
 	}
 	pins.Ask = r.AskIncarnation
 	r.SetLimits(relayer.Limits{MaxKeyAge: time.Minute, LoadMultiple: 2, RetryRatio: 0.2, RetrySlack: 50})
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
@@ -51,8 +49,13 @@
 	// envelope is what the request's headers say, verdict how it is treated.
 	envelope bergamotdale.Envelope
 	verdict  screener.Admission
-	body     []byte
-	service  string
+	// body holds the body of the request in parts.
+	body    [][]byte
+	service string
+	// hold is the memory that the request holds.
+	hold hold
+	// bodyRead is set once the body has been read to its end.
+	bodyRead bool
 	// fingerprint identifies the request in the quarantine.
 	fingerprint string
 	parts       partMonitor
@@ -124,12 +127,12 @@
 	}
 	j.verdict = verdict
 	j.deadline = j.arrival.Add(timeLimit(envelope, verdict.Route))
-	if refusal := j.readBody(screeningState.Table.Limits().BodyBytes); refusal != nil {
+	if refusal := j.receive(screeningState.Table.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
 	j.key = placementKey(envelope)
 	j.service = screeningState.Table.SelectService(verdict.Route, j.key)
-	j.fingerprint = string(quarantiner.FingerprintOf(verdict.Workspace, j.request.Method+" "+j.request.Host+j.request.RequestURI, j.body))
+	j.fingerprint = string(quarantiner.FingerprintOf(verdict.Workspace, j.request.Method+" "+j.request.Host+j.request.RequestURI, j.body...))
 	if refusal := r.Quarantine.Refusal(j.fingerprint); refusal != nil {
 		return refusal
 	}
@@ -179,34 +182,6 @@
 	return n
 }
 
-// readBody reads the request body until the deadline. It returns a refusal if the
-// body does not arrive or is larger than limit; a limit of 0 or less means
-// defaultMaxBody.
-func (j *job) readBody(limit int64) *bergamotdale.Refusal {
-	if j.request.Body == nil || j.request.Body == http.NoBody {
-		return nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	control := http.NewResponseController(j.writer)
-	if err := control.SetReadDeadline(j.deadline); err != nil {
-		j.relayer.Logger.Warn("failed to set the read deadline for a request body", zap.String("request-id", j.envelope.RequestID), zap.Error(err))
-	}
-	body, err := io.ReadAll(io.LimitReader(j.request.Body, limit+1))
-	if err != nil {
-		return bergamotdale.Refuse(bergamotdale.CodeInvalidRequest, "reading the request body failed").WithCause(err)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		j.relayer.Logger.Warn("failed to clear the read deadline of a request body", zap.String("request-id", j.envelope.RequestID), zap.Error(err))
-	}
-	if int64(len(body)) > limit {
-		return bergamotdale.Refuse(bergamotdale.CodeBodyTooLarge, "the request body is larger than the limit of %d bytes", limit)
-	}
-	j.body = body
-	return nil
-}
-
 // budget returns the retry budget of the request's service.
 func (j *job) budget() *retrier.Budget { return j.relayer.budget(j.service) }
 
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -15,6 +15,7 @@
 	j.outcome, j.code, j.cause = "refused", refusal.Code, refusal
 	j.status = statusOf(refusal)
 	j.started = true
+	j.endUnreadBody()
 	h := j.writer.Header()
 	j.relayer.Dialect.RefusalHeader(h, j.envelope.RequestID)
 	h.Set("Content-Type", "application/json")
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,6 +24,7 @@
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/reserver"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
 	"github.com/bergamotdale/bergamotdale/selfmonitor"
@@ -164,6 +165,8 @@
 	// ProcessRefusal returns a refusal for a new request if this process takes none, such
 	// as while it shuts down, else nil.
 	ProcessRefusal func(context.Context) *bergamotdale.Refusal
+	// Reserver decides which requests may hold memory.
+	Reserver *reserver.Reserver
 	// Abort is done when the router ends the requests in progress, at the deadline of a
 	// planned stop. Nil means never.
 	Abort context.Context
@@ -186,10 +189,19 @@
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	j := &job{relayer: r, writer: w, request: req, arrival: r.Clock.Now(), tried: map[string]bool{}}
 	j.framer.MaxEvent = r.limits.Load().MaxEvent
+	j.writer = &clientWriter{ResponseWriter: w, job: j}
+	defer j.hold.release()
 	r.StartupGate.Wait(req.Context())
 	if refusal := j.accept(); refusal != nil {
-		j.writeRefusal(refusal)
+		if j.hold.connectionTaken() {
+			j.recordUnanswered(refusal)
+		} else {
+			j.writeRefusal(refusal)
+		}
 		j.report()
+		if j.broken {
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), j.deadline)
--- a/server/listener.go
+++ b/server/listener.go
@@ -37,7 +37,8 @@
 // backlog before it closes.
 type drainingListener struct {
 	tcpListener
-	// admit is called with each accepted connection and returns the one to serve.
+	// admit is called with each accepted connection and returns the one to serve, or nil if
+	// it has closed it.
 	admit func(*net.TCPConn) net.Conn
 	// onError is called when the system has no resources for a connection.
 	onError  func(error)
@@ -73,7 +74,9 @@
 		}
 		pause = 0
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = d.admit(tcp)
+			if conn = d.admit(tcp); conn == nil {
+				continue
+			}
 		}
 		d.accepted <- conn
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -28,6 +30,11 @@
 	// used again. The limits of the configuration are lower. With the default of
 	// net/http, 200 clients could fill the memory of a VM.
 	maxHeaderBytes = 64 << 10
+	// maxStreams, maxFrame and maxStreamBuffer bound what an HTTP/2 connection holds, the
+	// sizes in bytes. The defaults of net/http are 250 streams and 1 MiB for each size.
+	maxStreams      = 32
+	maxFrame        = 16 << 10
+	maxStreamBuffer = 64 << 10
 	// firstRequestTime is how long Drain waits for the first request on a connection.
 	// TCP retransmits a lost packet after 0.2 to 0.4 s.
 	firstRequestTime = 500 * time.Millisecond
@@ -58,8 +65,14 @@
 	closed chan struct{}
 	// draining is set by Drain.
 	draining atomic.Bool
-	// maxConns is the largest number of connections that are served, zero for no limit.
-	maxConns atomic.Int64
+	// maxConns is the largest number of connections that are served, and maxOpen that of
+	// all; zero for no limit.
+	maxConns, maxOpen atomic.Int64
+	// rejected counts the connections that were closed because of maxOpen.
+	rejected atomic.Int64
+	// relieve frees a connection that is not at rest, and reports whether there is one; nil
+	// for none.
+	relieve func() bool
 	// idleTimeout is a time.Duration.
 	idleTimeout atomic.Int64
 
@@ -73,6 +86,44 @@
 // none is at rest, the new one is in excess; see IsExcess.
 func (s *Server) SetMaxConns(n int) { s.maxConns.Store(int64(n)) }
 
+// SetMaxOpen sets the largest number of connections that are open, with those in excess,
+// zero for no limit. When it is reached, new ones are closed at once.
+func (s *Server) SetMaxOpen(n int) { s.maxOpen.Store(int64(n)) }
+
+// Rejected returns the number of connections that were closed because of SetMaxOpen.
+func (s *Server) Rejected() int64 { return s.rejected.Load() }
+
+// SetRelieve sets the function that is called when SetMaxConns is reached and no connection
+// is at rest. It ends a request that waits for its client and reports whether there was
+// one. It is called before Run.
+func (s *Server) SetRelieve(relieve func() bool) { s.relieve = relieve }
+
+// SetBuffers bounds the buffers in the kernel of the connections that are accepted from now
+// on, in bytes: receive is the size of the receive buffer, and unsent how much may wait to
+// be sent. Without a bound the kernel lets each grow to several MiB.
+func (s *Server) SetBuffers(receive, unsent int) error {
+	listener, ok := s.listener.(syscall.Conn)
+	if !ok {
+		return errors.Errorf("the listener for %s has no socket", s.name)
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var sockoptErr error
+	// Accepted connections inherit the options.
+	err = raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
+		if sockoptErr == nil {
+			sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsent)
+		}
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotatef(sockoptErr, "setting the buffers of %s", s.name)
+}
+
 // SetIdleTimeout sets how long a connection may be idle between two requests, zero for a
 // default. It holds from the next response of each connection on.
 func (s *Server) SetIdleTimeout(d time.Duration) {
@@ -119,8 +170,12 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       defaultIdleTimeout,
 		Protocols:         protocols,
-		ErrorLog:          zap.NewStdLog(logger.Named(name)),
-		ConnState:         s.recordState,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrame,
+			MaxReceiveBufferPerConnection: maxStreamBuffer, MaxReceiveBufferPerStream: maxStreamBuffer,
+		},
+		ErrorLog:  zap.NewStdLog(logger.Named(name)),
+		ConnState: s.recordState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -142,13 +197,20 @@
 	})
 }
 
-// admit records a connection that was accepted.
+// admit records a connection that was accepted. It returns nil if it was closed.
 func (s *Server) admit(tcp *net.TCPConn) net.Conn {
 	c := &conn{TCPConn: tcp, idleTimeout: func() time.Duration { return time.Duration(s.idleTimeout.Load()) }, restSince: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if limit := int(s.maxOpen.Load()); limit > 0 && len(s.conns) >= limit {
+		s.rejected.Add(1)
+		// A reset frees the socket at once.
+		_ = tcp.SetLinger(0)
+		tcp.Close()
+		return nil
+	}
 	if limit := int(s.maxConns.Load()); limit > 0 && len(s.conns) >= limit && s.countOpen() >= limit {
-		c.excess = !s.endOldest()
+		c.excess = !s.endOldest() && (s.relieve == nil || !s.relieve())
 	}
 	s.conns[c] = http.StateNew
 	return c
