--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,8 @@
 	descriptors budgeter.Descriptors
 	memory      budgeter.Memory
 	reserver    *reserver.Reserver
+	// bodyLimit is the limit of the configuration that was checked last.
+	bodyLimit int64
 	// clientServer serves clients.
 	clientServer *server.Server
 
@@ -201,6 +203,7 @@
 			g.pinner.Observe(s)
 			if s.Table != nil {
 				g.clientServer.SetIdleTimeout(s.Table.Limits().IdleTimeout)
+				g.checkBodyLimit(s.Table.Limits().BodyBytes)
 				startupGate.Open()
 			}
 		},
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -31,3 +31,15 @@
 	s.SetRelieve(func() bool { return g.reserver.DropSlowest(g.clock.Now()) })
 	return errors.Trace(s.SetBuffers(g.memory.ReceiveBuffer, maxUnsent))
 }
+
+// checkBodyLimit warns about a limit of bodies beyond what the router can hold: larger
+// bodies are refused though the configuration allows them.
+func (g *Gateway) checkBodyLimit(limit int64) {
+	if limit == g.bodyLimit {
+		return
+	}
+	g.bodyLimit = limit
+	if most := g.memory.Held - g.memory.RequestState; limit > most {
+		g.Logger.Warn("the limit of bodies exceeds what the router can hold", zap.Int64("limit", limit), zap.Int64("most", most))
+	}
+}
--- a/relayer/hold.go
+++ b/relayer/hold.go
@@ -46,7 +46,7 @@
 	if h.control == nil {
 		return
 	}
-	// The connection is closed if a deadline cannot be set: the request ends with it.
+	// A deadline cannot be set on a connection that is closed, and need not.
 	past := time.Unix(1, 0)
 	h.connection = h.connection || d.Connection
 	if !d.Writing {
--- a/server/server.go
+++ b/server/server.go
@@ -70,13 +70,13 @@
 	maxConns, maxOpen atomic.Int64
 	// rejected counts the connections that were closed because of maxOpen.
 	rejected atomic.Int64
-	// relieve frees a connection that is not at rest, and reports whether there is one; nil
-	// for none.
-	relieve func() bool
 	// idleTimeout is a time.Duration.
 	idleTimeout atomic.Int64
 
 	mu sync.Mutex
+	// relieve frees a connection that is not at rest, and reports whether there is one; nil
+	// for none.
+	relieve func() bool
 	// conns holds the open connections.
 	conns map[*conn]http.ConnState
 }
@@ -95,8 +95,12 @@
 
 // SetRelieve sets the function that is called when SetMaxConns is reached and no connection
 // is at rest. It ends a request that waits for its client and reports whether there was
-// one. It is called before Run.
-func (s *Server) SetRelieve(relieve func() bool) { s.relieve = relieve }
+// one. It must not wait, since no connection is accepted meanwhile.
+func (s *Server) SetRelieve(relieve func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relieve = relieve
+}
 
 // SetBuffers bounds the buffers in the kernel of the connections that are accepted from now
 // on, in bytes: receive is the size of the receive buffer, and unsent how much may wait to
