--- a/dialer/partial_test.go
+++ b/dialer/partial_test.go
@@ -54,7 +54,7 @@
 	c, err := d.Get(ctx, address)
 	assert.NilError(t, err)
 	long := request
-	long.Method, long.Header, long.Body = method, http.Header{}, make([]byte, uploadBytes)
+	long.Method, long.Header, long.Body = method, http.Header{}, [][]byte{make([]byte, uploadBytes)}
 	x, err := d.Send(ctx, c, long)
 	if err != nil {
 		var failure *dialer.ExchangeError
@@ -150,7 +150,7 @@
 			c, err := d.Get(ctx, address)
 			assert.NilError(t, err)
 			long := request
-			long.Method, long.Header, long.Body = tc.method, http.Header{}, []byte(strings.Repeat("x", 8<<20))
+			long.Method, long.Header, long.Body = tc.method, http.Header{}, [][]byte{[]byte(strings.Repeat("x", 8<<20))}
 			x, err := d.Send(ctx, c, long)
 			assert.NilError(t, err)
 			if tc.complete {
