relayer, gateway, collector, exchanger, loader: admission is wired

Change: job.forward asks bergamotdale.Admission before each attempt, and place takes the endpoint that has room. The gateway creates a regulator where the features of its terms call for it; NewAdapters gets the features from platform. Load messages carry the demand of each service, 40 bytes of the interval's budget for each. The setting admission.max-waiting bounds each queue.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -34,6 +34,8 @@
 	// overheadBytes that of the rest of a request and its response.
 	bytesPerEndpoint = 20
 	overheadBytes    = 700
+	// bytesPerService is the size of the demand for a service.
+	bytesPerService = 40
 	// maxBytesPerSecond limits what a router receives from its collector. With
 	// many endpoints the interval grows.
 	maxBytesPerSecond = 7_500
@@ -53,13 +55,16 @@
 	// Covers is the number of routers whose loads are included, set between
 	// collectors and zero in the report of a single router.
 	Covers int `json:"covers,omitempty"`
+	// Demands is nil if the sender does not take part in admission.
+	Demands *Demands `json:"demands,omitempty"`
 }
 
 // LoadTotals carries the sums of the fleet to a router, or those of a failure domain
 // to another collector.
 type LoadTotals struct {
-	Loads  map[string]int `json:"loads,omitempty"`
-	Covers int            `json:"covers"`
+	Loads   map[string]int `json:"loads,omitempty"`
+	Covers  int            `json:"covers"`
+	Demands *Demands       `json:"demands,omitempty"`
 }
 
 // Collector reports the loads of one router and collects those of others if this
@@ -73,10 +78,13 @@
 	Logger  *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// Demand is the admission whose demand goes with the loads; nil for none.
+	Demand DemandExchange
 
 	mu sync.Mutex
-	// table is used only while other routers take this one for a collector.
-	table Table
+	// table and demands are used only while other routers take this one for a collector.
+	table   Table
+	demands demandTable
 
 	// The fields below are used only by ReportOnce.
 
@@ -105,17 +113,33 @@
 	case len(collectors) == 0:
 	case c.find(members, collectors, c.Self) != nil:
 		c.exchangeDomains(ctx, members, collectors)
-		c.mergeTotals(nil, c.totals())
+		c.mergeTotals(LoadReport{}, c.totals())
 	default:
 		c.report(ctx, members, collectors)
 	}
-	return Interval(c.Tracker.EndpointCount())
+	services := 0
+	if own := c.ownDemands(); own != nil {
+		services = len(own.Services)
+	}
+	return IntervalWithDemands(c.Tracker.EndpointCount(), services)
+}
+
+// ownDemands returns the demand of this router, or nil without admission.
+func (c *Collector) ownDemands() *Demands {
+	if c.Demand == nil {
+		return nil
+	}
+	d := c.Demand.Demands()
+	return &d
 }
 
 // Interval returns the mean time between two messages to a collector for a number
 // of endpoints.
-func Interval(endpoints int) time.Duration {
-	bytes := overheadBytes + bytesPerEndpoint*endpoints
+func Interval(endpoints int) time.Duration { return IntervalWithDemands(endpoints, 0) }
+
+// IntervalWithDemands is Interval for messages with the demand for a number of services.
+func IntervalWithDemands(endpoints, services int) time.Duration {
+	bytes := overheadBytes + bytesPerEndpoint*endpoints + bytesPerService*services
 	return max(minInterval, time.Duration(bytes)*time.Second/maxBytesPerSecond)
 }
 
@@ -140,8 +164,8 @@
 		if m == nil || now.Before(c.avoidedUntil[id]) {
 			continue
 		}
-		own := c.Tracker.Report().Loads
-		totals, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: own})
+		own := LoadReport{Router: c.Self, Loads: c.Tracker.Report().Loads, Demands: c.ownDemands()}
+		totals, ok := c.call(ctx, *m, own)
 		if !ok {
 			if c.avoidedUntil == nil {
 				c.avoidedUntil = map[string]time.Time{}
@@ -171,15 +195,22 @@
 	return nil
 }
 
-// mergeTotals passes the sums of the fleet to the tracker, without the loads of
-// this router that they include.
-func (c *Collector) mergeTotals(own map[string]int, totals LoadTotals) {
+// mergeTotals passes the sums of the fleet to the tracker and to the admission, without
+// what they include of this router.
+func (c *Collector) mergeTotals(own LoadReport, totals LoadTotals) {
 	others := make(map[string]int, len(totals.Loads))
 	for id, n := range totals.Loads {
-		if n -= own[id]; n > 0 {
+		if n -= own.Loads[id]; n > 0 {
 			others[id] = n
 		}
 	}
+	if c.Demand != nil && totals.Demands != nil {
+		demands := totals.Demands
+		if own.Demands != nil {
+			demands = demands.plus(own.Demands, -1)
+		}
+		c.Demand.SetDemands(c.Clock.Now(), *demands)
+	}
 	c.Tracker.SetTotals(c.Clock.Now(), others, totals.Covers-1)
 }
 
@@ -191,6 +222,7 @@
 	c.mu.Lock()
 	c.table.SetOwn(c.Tracker.Report().Loads)
 	sums, covers := c.table.Sums(now)
+	demands := c.demandSums(now, c.demands.sums)
 	c.mu.Unlock()
 	for _, ids := range collectors {
 		for _, id := range ids {
@@ -200,10 +232,11 @@
 				continue
 			}
 			calls.Go(func() {
-				if response, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: sums, Covers: covers}); ok {
+				if response, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: sums, Covers: covers, Demands: demands}); ok {
 					c.mu.Lock()
 					defer c.mu.Unlock()
 					c.table.SetDomain(now, m.ID, response.Loads, response.Covers)
+					c.demands.set(now, m.ID, response.Demands, true)
 				}
 			})
 		}
@@ -218,8 +251,22 @@
 	own := c.table.own
 	c.table.SetOwn(nil)
 	defer c.table.SetOwn(own)
-	loads, covers := c.table.Totals(c.Clock.Now())
-	return LoadTotals{Loads: loads, Covers: covers}
+	now := c.Clock.Now()
+	loads, covers := c.table.Totals(now)
+	return LoadTotals{Loads: loads, Covers: covers, Demands: c.demands.totals(now, &Demands{})}
+}
+
+// demandSums returns a sum of demands with that of this router, or nil if no router
+// tells its demand. The lock is held.
+func (c *Collector) demandSums(now time.Time, sum func(time.Time, *Demands) *Demands) *Demands {
+	own := c.ownDemands()
+	if own == nil {
+		own = &Demands{}
+	}
+	if d := sum(now, own); d.Covers > 0 {
+		return d
+	}
+	return nil
 }
 
 // call sends a message to another router. It returns false if that fails.
@@ -244,10 +291,12 @@
 	c.table.SetOwn(own)
 	if r.Covers > 0 {
 		c.table.SetDomain(now, r.Router, r.Loads, r.Covers)
+		c.demands.set(now, r.Router, r.Demands, true)
 		loads, covers := c.table.Sums(now)
-		return LoadTotals{Loads: loads, Covers: covers}, nil
+		return LoadTotals{Loads: loads, Covers: covers, Demands: c.demandSums(now, c.demands.sums)}, nil
 	}
 	c.table.SetRouter(now, r.Router, r.Loads)
+	c.demands.set(now, r.Router, r.Demands, false)
 	loads, covers := c.table.Totals(now)
-	return LoadTotals{Loads: loads, Covers: covers}, nil
+	return LoadTotals{Loads: loads, Covers: covers, Demands: c.demandSums(now, c.demands.totals)}, nil
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/tracker"
 )
 
@@ -43,6 +44,17 @@
 type Message struct {
 	Router string `json:"router"`
 	tracker.Report
+	// Demands is the demand of the router for services with few endpoints; nil if it does
+	// not take part in admission, or if the fleet has collectors, which add it up.
+	Demands *collector.Demands `json:"demands,omitempty"`
+}
+
+// DemandExchange is the admission of this router, whose demand goes with its loads.
+type DemandExchange interface {
+	// Demands returns the demand of this router.
+	Demands() collector.Demands
+	// MergeDemands replaces the demand of another router.
+	MergeDemands(now time.Time, router string, d collector.Demands)
 }
 
 // Exchanger exchanges load reports with the other routers. Exported fields are set
@@ -56,6 +68,8 @@
 	Logger  *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// Demand is the admission whose demand goes with the loads; nil for none.
+	Demand DemandExchange
 
 	// remaining holds the routers that are still to be asked in this pass. Only
 	// ExchangeOnce uses it.
@@ -124,16 +138,30 @@
 		x.Logger.Debug("failed to exchange load reports", zap.String("peer", peer.ID), zap.Error(err))
 		return
 	}
-	x.Tracker.MergeReport(x.Clock.Now(), response.Router, response.Report)
+	x.merge(response)
+}
+
+// merge takes over the message of another router.
+func (x *Exchanger) merge(m Message) {
+	now := x.Clock.Now()
+	x.Tracker.MergeReport(now, m.Router, m.Report)
+	if x.Demand != nil && m.Demands != nil {
+		x.Demand.MergeDemands(now, m.Router, *m.Demands)
+	}
 }
 
 func (x *Exchanger) ownMessage() Message {
-	return Message{Router: x.Self, Report: x.Tracker.Report()}
+	m := Message{Router: x.Self, Report: x.Tracker.Report()}
+	if x.Demand != nil && !x.Tracker.HasTotals(x.Clock.Now()) {
+		d := x.Demand.Demands()
+		m.Demands = &d
+	}
+	return m
 }
 
 // Handle merges the report of another router and responds with the report of this
 // one.
 func (x *Exchanger) Handle(_ context.Context, m Message) (Message, error) {
-	x.Tracker.MergeReport(x.Clock.Now(), m.Router, m.Report)
+	x.merge(m)
 	return x.ownMessage(), nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/bergamotdale/bergamotdale/meter"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/regulator"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
 	"github.com/bergamotdale/bergamotdale/replicator"
@@ -68,7 +69,7 @@
 	Settings *loader.GatewaySettings
 	Logger   *zap.Logger
 	// Adapters provides the implementations of bergamotdale.ChangeStore,
-	// RecordStore, Dialect, Layout, Peer and Clock; see NewAdapters.
+	// RecordStore, Dialect, Layout, FeatureReader, Peer and Clock; see NewAdapters.
 	Adapters do.Injector
 	// Elapsed reads a clock that advances also while the VM is suspended, such
 	// as SinceBoot.
@@ -101,6 +102,8 @@
 	descriptors budgeter.Descriptors
 	// clientServer serves clients.
 	clientServer *server.Server
+	// regulator is nil where the settings do not call for admission.
+	regulator *regulator.Regulator
 
 	// stopping is set once a planned stop has begun, and refusing once new
 	// requests are refused. activeRequests counts the client requests in
@@ -133,7 +136,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
+	for _, component := range []func(context.Context) error{g.runAdmission, g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
 		componentCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return component(componentCtx) }, func(error) { cancel() })
 	}
@@ -254,8 +257,12 @@
 		},
 	}
 	g.pinner.Ask = g.relayer.AskIncarnation
+	g.buildAdmission()
 	g.applySettings(g.Settings)
-	return errors.Trace(g.registerGauges())
+	if err := g.registerGauges(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(g.registerAdmissionGauges())
 }
 
 // streamTime returns the longest time for which a stream may be taken up.
@@ -306,6 +313,9 @@
 		MaxEvent:     int(s.Responses.MaxEvent),
 		MaxResponse:  int64(s.Responses.MaxBody),
 	})
+	if g.regulator != nil {
+		g.regulator.SetMaxWaiting(s.Admission.MaxWaiting)
+	}
 	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Contact); err != nil {
 		g.Logger.Error("failed to apply the promises, keeping those in force", zap.Error(err))
 	} else {
@@ -408,9 +418,9 @@
 }
 
 // NewAdapters returns an injector with the adapters of a gateway process: the
-// given store, dialect and layout of the platform, the system clock and an HTTP
-// client for other routers.
-func NewAdapters(store Store, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout) do.Injector {
+// given store, dialect, layout and features of the platform, the system clock and an
+// HTTP client for other routers.
+func NewAdapters(store Store, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout, features bergamotdale.FeatureReader) do.Injector {
 	i := do.New()
 	do.ProvideValue[bergamotdale.Clock](i, bergamotdale.SystemClock{})
 	do.Provide(i, func(do.Injector) (bergamotdale.Peer, error) { return peerclient.New(), nil })
@@ -418,5 +428,6 @@
 	do.ProvideValue[bergamotdale.RecordStore](i, store)
 	do.ProvideValue(i, dialect)
 	do.ProvideValue(i, layout)
+	do.ProvideValue(i, features)
 	return i
 }
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/bergamotdale/bergamotdale/decoder"
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/framer"
+	"github.com/bergamotdale/bergamotdale/regulator"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/replicator"
 )
@@ -46,8 +47,19 @@
 	// Terms lists the parts of the deployment's rules that are in force, as the platform
 	// names them.
 	Terms []string `yaml:"terms"`
+	// Admission limits the requests that wait, where the terms call for admission.
+	Admission AdmissionLimits `yaml:"admission"`
 }
 
+// AdmissionLimits bounds the queues of requests for services with few endpoints.
+type AdmissionLimits struct {
+	// MaxWaiting is the largest number of requests that wait for a service.
+	MaxWaiting int `yaml:"max-waiting" min:"1" max:"100000"`
+}
+
+// SetDefaults implements decoder.Defaulter.
+func (l *AdmissionLimits) SetDefaults() { l.MaxWaiting = regulator.DefaultMaxWaiting }
+
 // ResponseLimits bounds the responses of endpoints. An endpoint in trouble may send
 // bytes without end.
 type ResponseLimits struct {
@@ -110,6 +122,7 @@
 	s.Placement = string(balancer.SharedPrefix)
 	s.Limits.SetDefaults()
 	s.Responses.SetDefaults()
+	s.Admission.SetDefaults()
 }
 
 // SetDefaults implements decoder.Defaulter.
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -75,6 +75,8 @@
 	connectFailures int
 	// choice describes the latest endpoint.
 	choice choice
+	// admission is what the admission has decided of the latest attempt.
+	admission admission
 	// enteredAt is when the latest attempt was written.
 	enteredAt time.Time
 
@@ -218,12 +220,19 @@
 			j.fail(ctx, refusal.WithOutcome(bergamotdale.OutcomeUnknown))
 			return
 		}
+		release, refusal := j.admit(ctx)
+		if refusal != nil {
+			j.fail(ctx, refusal)
+			return
+		}
 		target, refusal := j.chooseEndpoint()
 		if refusal != nil {
+			release(nil, refusal)
 			j.fail(ctx, refusal)
 			return
 		}
 		failure := j.attempt(ctx, target)
+		release(failure, nil)
 		if failure == nil {
 			j.markComplete()
 			j.recordDuration()
@@ -339,6 +348,7 @@
 	if index < 0 {
 		return choice{}, j.noEndpoint(tried)
 	}
+	index = j.admission.prefer(index, candidates)
 	return choice{
 		target: records[index], load: candidates[index].Load, choices: len(candidates), suspended: candidates[index].Suspended,
 		copyFrom: j.copySource(records[index].ID, endpoints, candidates),
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -152,6 +152,8 @@
 	Gatekeeper *gatekeeper.Gatekeeper
 	Quarantine Quarantine
 	Pins       Pins
+	// Admission decides when an attempt may be sent; nil for at once.
+	Admission bergamotdale.Admission
 	// Health tells whether this router itself is overloaded, so that timeouts are
 	// not the fault of the endpoints.
 	Health *selfmonitor.Monitor
--- a/relayer/returns.go
+++ b/relayer/returns.go
@@ -51,6 +51,9 @@
 // While endpoints of its service have named a time, that depends on when they take
 // requests again and on the callers that return before.
 func (j *job) returnDelay(refusal *bergamotdale.Refusal) time.Duration {
+	if isAdmissionRefusal(refusal) {
+		return refusal.RetryAfter
+	}
 	now := j.relayer.Clock.Now()
 	left := j.envelope.TimeLeft
 	if left > 0 {
