--- a/collector/demands.go
+++ b/collector/demands.go
@@ -37,7 +37,7 @@
 }
 
 // Of returns the demand for a service.
-func (d *Demands) Of(service string) (requests, work float64) {
+func (d Demands) Of(service string) (requests, work float64) {
 	sum := d.Services[service]
 	return float64(sum[0]) / 1000, float64(sum[1]) / 1000
 }
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/collector"
 	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
@@ -65,3 +66,27 @@
 	}
 	assert.Equal(t, exchanger.Interval(5), 100*time.Millisecond)
 }
+
+// fakeAdmission has a fixed demand and records that of the others.
+type fakeAdmission map[string]collector.Demands
+
+func (fakeAdmission) Demands() collector.Demands                                     { return collector.Demands{Covers: 1} }
+func (a fakeAdmission) MergeDemands(_ time.Time, router string, d collector.Demands) { a[router] = d }
+
+// Guards against demand that is not exchanged in a small fleet, that of a router of an
+// earlier version, which tells none, and demand beside the sums of a collector.
+func TestDemandIsExchanged(t *testing.T) {
+	known := fakeAdmission{}
+	x := &exchanger.Exchanger{Self: "r0", Clock: bergamotdale.SystemClock{}, Tracker: tracker.New(), Logger: zap.NewNop(), Demand: known}
+	response, err := x.Handle(context.Background(), exchanger.Message{Router: "earlier"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(known), 0)
+	assert.Equal(t, response.Demands.Covers, 1)
+	d := collector.Demands{Covers: 1}
+	d.Add("s", 2, 0.125)
+	x.Tracker.SetTotals(time.Now(), nil, 71)
+	response, err = x.Handle(context.Background(), exchanger.Message{Router: "r1", Demands: &d})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, known["r1"], d)
+	assert.Assert(t, response.Demands == nil)
+}
--- a/loader/gateway_test.go
+++ b/loader/gateway_test.go
@@ -35,3 +35,15 @@
 		assert.Assert(t, err != nil && strings.Contains(err.Error(), want), "%s: %v", promises, err)
 	}
 }
+
+// Guards against a bound of the queues that is ignored or has no default.
+func TestAdmissionLimits(t *testing.T) {
+	s, err := loader.ParseGatewaySettings("f", gatewaySettings("{}"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Admission.MaxWaiting, 256)
+	s, err = loader.ParseGatewaySettings("f", append(gatewaySettings("{}"), "admission: {max-waiting: 9}\n"...))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Admission.MaxWaiting, 9)
+	_, err = loader.ParseGatewaySettings("f", append(gatewaySettings("{}"), "admission: {max-waiting: 0}\n"...))
+	assert.Assert(t, err != nil)
+}
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -39,6 +39,15 @@
 	// totalsExpiry is the age from which the sums of a collector are forgotten. The share
 	// has decayed to an equal one by then.
 	totalsExpiry = 10 * time.Second
+	// minWeight is the least part of its slots with which an endpoint counts that is slow
+	// or fails requests.
+	minWeight = 1.0 / 16
+	// maxServices bounds the services in a message. The target of 33 models and some
+	// plain services fits, as only the latter take part; those with the most demand come
+	// first.
+	maxServices = 32
+	// minReported is the demand, in requests a second, below which it is not told.
+	minReported = 0.01
 	// recheckInterval is the time between two checks whether shares bind while no
 	// request waits.
 	recheckInterval = time.Second
@@ -166,7 +175,7 @@
 			return false
 		}
 		if !c.Suspended {
-			endpoints = append(endpoints, apportioner.Endpoint{ID: c.ID, Slots: float64(c.Slots) * c.Weight, Load: c.Load})
+			endpoints = append(endpoints, apportioner.Endpoint{ID: c.ID, Slots: float64(c.Slots) * max(minWeight, c.Weight), Load: c.Load})
 		}
 	}
 	s.observe(now, endpoints, r.fleet(now, s.name))
@@ -324,10 +333,6 @@
 	s.waited, s.refused = 0, 0
 }
 
-// maxServices bounds the services in a message. The target of 33 models and some plain
-// services fits; those with the most demand come first.
-const maxServices = 32
-
 // Demands returns the demand of this router for other routers.
 func (r *Regulator) Demands() collector.Demands {
 	r.mu.Lock()
@@ -350,9 +355,6 @@
 	return d
 }
 
-// minReported is the demand, in requests a second, below which it is not told.
-const minReported = 0.01
-
 // SetDemands takes over the demand of the other routers from a collector.
 func (r *Regulator) SetDemands(now time.Time, others collector.Demands) {
 	r.mu.Lock()
