--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -359,6 +359,7 @@
 func (r *Regulator) SetDemands(now time.Time, others collector.Demands) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	others.Covers = max(0, others.Covers)
 	r.totals = demand{others, now}
 }
 
@@ -366,6 +367,7 @@
 func (r *Regulator) MergeDemands(now time.Time, router string, d collector.Demands) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	d.Covers = min(1, max(0, d.Covers))
 	r.reports[router] = demand{d, now}
 	maps.DeleteFunc(r.reports, func(_ string, d demand) bool { return now.Sub(d.at) >= reportExpiry })
 }
