apportioner: the use of an endpoint counts relative to its slots

Cause: the choice of an endpoint compared times in flight without their slots, so one with half as many slots would have got as many requests.

Change: time per slot. With equal slots nothing changes.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -89,7 +89,7 @@
 	slowerWeight = 1.0 / 32
 	// busyDemand is the demand, relative to the slots, from which the share binds.
 	busyDemand = 0.95
-	// minDemand keeps the demand of an idle router above zero, in requests.
+	// minDemand keeps the demand of an idle router above zero, in requests a second.
 	minDemand = 1e-3
 	// minWork is the least processing time, in seconds, that is told apart.
 	minWork = 1e-3
@@ -179,7 +179,7 @@
 
 // Flight is a request that the share has let go.
 type Flight struct {
-	// Endpoint is the endpoint whose share it uses.
+	// Endpoint is the ID of the endpoint that has room for it.
 	Endpoint  string
 	startedAt time.Time
 	charge    float64
@@ -289,8 +289,7 @@
 			s.endpoints = append(s.endpoints, known[i])
 			continue
 		}
-		fresh := &endpoint{Endpoint: e, factor: 1, factorAt: s.advancedAt}
-		s.endpoints = append(s.endpoints, fresh)
+		s.endpoints = append(s.endpoints, &endpoint{Endpoint: e, factor: 1, factorAt: s.advancedAt})
 	}
 }
 
@@ -408,7 +407,7 @@
 	best, bestScore := s.endpoints[0], math.Inf(1)
 	for _, e := range s.endpoints {
 		// The hash decides between endpoints that have been used about equally.
-		score := e.used*e.Slots/s.work + tieMargin*float64(hasher.Weight(seed, hasher.Hash(e.ID))>>11)/(1<<53)
+		score := e.used/s.work + tieMargin/e.Slots*float64(hasher.Weight(seed, hasher.Hash(e.ID))>>11)/(1<<53)
 		if excluded[e.ID] {
 			score += excludedScore
 		}
@@ -424,7 +423,7 @@
 }
 
 // End records the end of a request. It was sent to the endpoint with the ID, which may
-// differ from the one whose share it used.
+// differ from the one that the share chose.
 func (s *Share) End(now time.Time, f *Flight, id string, outcome Outcome) {
 	s.advance(now)
 	if outcome == Rejected {
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// Push adds a request. It returns nil and how much longer it would wait than it can if
-// it would not be served in its time.
+// Push adds a request and returns its predicted wait. The ticket is nil if the request
+// would not be served in its time and is not added.
 func (q *Queue[T]) Push(now time.Time, r Request, value T, pace Pace) (ticket *Ticket[T], wait time.Duration) {
 	q.decay(now)
 	wait = q.Wait(now, r, pace)
--- a/regulator/service.go
+++ b/regulator/service.go
@@ -91,7 +91,7 @@
 	}
 	s.update(now, 1)
 	pace := s.pace(now)
-	s.recordWait(now)
+	s.waitedAt = now
 	if s.queue.Len() >= s.maxWaiting {
 		s.refuse(now, w, bergamotdale.Refuse(bergamotdale.CodeOverloaded, "%d requests wait for service %s", s.queue.Len(), s.name))
 		return
@@ -122,11 +122,6 @@
 	}
 }
 
-// recordWait records that a request cannot go at once.
-func (s *service) recordWait(now time.Time) {
-	s.waitedAt = now
-}
-
 // refuse refuses a request, with the time at which there is room for its return.
 func (s *service) refuse(now time.Time, w *waiter, refusal *bergamotdale.Refusal) {
 	s.refused++
