predictor, balancer, tracker, collector: even load from old reports

Cause: all routers choose endpoints by the same counts of requests, which are 0.3 s to 2 s old, with a fixed margin. An endpoint that the counts show below its bound gets the requests of all routers until the next counts, then none, so that endpoints are overrun in turns while others idle. What an endpoint reports of its load, its speed and its memory were not used.

Change: predictor estimates load and speed of an endpoint from counts, its own reports and this router's requests, and sums up by how much it has exceeded its share over the counts. balancer lets an endpoint accept a part of the requests that falls with both; of those that accept a request, the first in rendezvous order for its key gets it. Keys that a router sees twice in 5 s are spread by request, all others stay by key. Routers exchange the sums of loads without the IDs of endpoints where both know the same ones, so that the messages stay within their bytes at 0.3 s up to 300 endpoints and 0.5 s at 750 (before: 0.47 s at 140, 2.1 s at 750). Active where Features.LiveLoad is set and endpoints report a load, or where an endpoint states the fourth figure of Server-Load.

Test: collector TestInterval passes the new argument; its bounds are unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,8 @@
 	// SameFailureDomain states that the endpoint is in the failure domain of
 	// this router.
 	SameFailureDomain bool
+	// Estimate is used if Bound.Live is set.
+	Estimate Estimate
 }
 
 // Bound limits the load of each endpoint of a service.
@@ -57,6 +59,9 @@
 	// loads before they hear of each other's requests; with one capacity for all,
 	// a popular prompt would fill its endpoint far beyond that and then the next.
 	Spread float64
+	// Live states that the candidates have estimates, by which they are chosen instead
+	// of Candidate.Load.
+	Live bool
 }
 
 // Capacity returns the load from which an endpoint receives no further requests
--- a/balancer/rule.go
+++ b/balancer/rule.go
@@ -35,6 +35,10 @@
 	Key string
 	// HasPrompt is false for requests to services without prompts.
 	HasPrompt bool
+	// Tokens is the length of the prompt, zero if unknown. Popular states that the key
+	// is requested often. Both are used if Bound.Live is set.
+	Tokens  int64
+	Popular bool
 }
 
 // CopiesPrefixes reports whether, under the policy, an endpoint copies cached
@@ -52,6 +56,8 @@
 	case p == ConsistentHash && request.HasPrompt:
 		key := hasher.Hash(request.Key)
 		return highestHash(func(i int) uint64 { return hasher.Weight(key, hasher.Hash(candidates[i].ID)) }, candidates)
+	case b.Live && p.CopiesPrefixes():
+		return placeLive(request, candidates, b)
 	case p.CopiesPrefixes() && request.HasPrompt:
 		return ByKey(request.RequestID, request.Key, candidates, b)
 	default:
--- a/cmd/bergamotdale/main.go
+++ b/cmd/bergamotdale/main.go
@@ -66,7 +66,7 @@
 	g := &gateway.Gateway{
 		Settings:        s,
 		Logger:          log.With(zap.String("router", s.ID)),
-		Adapters:        gateway.NewAdapters(&platform.Store{Address: s.Store}, platform.Dialect{}, platform.Layout()),
+		Adapters:        gateway.NewAdapters(&platform.Store{Address: s.Store}, platform.Dialect{}, platform.Layout(), platform.Features(s.Terms)),
 		Elapsed:         gateway.SinceBoot,
 		SettingsFile:    file,
 		ReloadSignal:    reload,
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -34,6 +34,11 @@
 	// overheadBytes that of the rest of a request and its response.
 	bytesPerEndpoint = 20
 	overheadBytes    = 700
+	// bytesPerCount is the size of a load in a message without the IDs of endpoints, two
+	// digits and a comma, and compactOverheadBytes that of the rest, which includes the
+	// loads of the router itself with the IDs of some 30 endpoints.
+	bytesPerCount        = 3
+	compactOverheadBytes = 1_400
 	// maxBytesPerSecond limits what a router receives from its collector. With
 	// many endpoints the interval grows.
 	maxBytesPerSecond = 7_500
@@ -53,6 +58,10 @@
 	// Covers is the number of routers whose loads are included, set between
 	// collectors and zero in the report of a single router.
 	Covers int `json:"covers,omitempty"`
+	// List asks for the loads without IDs, in the order of the list with this hash. With
+	// Counts, it is the order of Counts, which replaces Loads between collectors.
+	List   uint64 `json:"list,omitempty"`
+	Counts []int  `json:"counts,omitempty"`
 }
 
 // LoadTotals carries the sums of the fleet to a router, or those of a failure domain
@@ -60,6 +69,9 @@
 type LoadTotals struct {
 	Loads  map[string]int `json:"loads,omitempty"`
 	Covers int            `json:"covers"`
+	// Counts replaces Loads if the request asked for it and both routers have the list.
+	List   uint64 `json:"list,omitempty"`
+	Counts []int  `json:"counts,omitempty"`
 }
 
 // Collector reports the loads of one router and collects those of others if this
@@ -73,6 +85,10 @@
 	Logger  *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// Compact states that loads are exchanged without the IDs of endpoints, with those
+	// routers that know the same endpoints. The messages then are a few times smaller
+	// and in a large fleet more frequent.
+	Compact bool
 
 	mu sync.Mutex
 	// table is used only while other routers take this one for a collector.
@@ -84,6 +100,10 @@
 	avoidedUntil map[string]time.Time
 	// following is the ID of the collector that responded last, or empty.
 	following string
+	// lists holds, by ID of another collector, the hash of the list that it has.
+	lists map[string]uint64
+	// compact is set if the latest messages had no IDs.
+	compact bool
 }
 
 // Run reports to the collector until the context is done.
@@ -109,13 +129,16 @@
 	default:
 		c.report(ctx, members, collectors)
 	}
-	return Interval(c.Tracker.EndpointCount())
+	return Interval(c.Tracker.EndpointCount(), c.compact)
 }
 
 // Interval returns the mean time between two messages to a collector for a number
-// of endpoints.
-func Interval(endpoints int) time.Duration {
+// of endpoints, with their IDs or compact.
+func Interval(endpoints int, compact bool) time.Duration {
 	bytes := overheadBytes + bytesPerEndpoint*endpoints
+	if compact {
+		bytes = compactOverheadBytes + bytesPerCount*endpoints
+	}
 	return max(minInterval, time.Duration(bytes)*time.Second/maxBytesPerSecond)
 }
 
@@ -141,7 +164,8 @@
 			continue
 		}
 		own := c.Tracker.Report().Loads
-		totals, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: own})
+		list := c.list()
+		totals, ok := c.call(ctx, *m, list, LoadReport{Router: c.Self, Loads: own, List: list.Hash})
 		if !ok {
 			if c.avoidedUntil == nil {
 				c.avoidedUntil = map[string]time.Time{}
@@ -155,6 +179,7 @@
 			c.Logger.Info("loads from a collector", zap.String("peer", id), zap.Int("routers", totals.Covers))
 			c.following = id
 		}
+		c.compact = totals.List != 0
 		c.mergeTotals(own, totals)
 		return
 	}
@@ -188,9 +213,14 @@
 func (c *Collector) exchangeDomains(ctx context.Context, members []bergamotdale.Member, collectors map[string][]string) {
 	now := c.Clock.Now()
 	var calls sync.WaitGroup
+	list := c.list()
+	if c.lists == nil {
+		c.lists = map[string]uint64{}
+	}
 	c.mu.Lock()
 	c.table.SetOwn(c.Tracker.Report().Loads)
 	sums, covers := c.table.Sums(now)
+	c.compact = list.Hash != 0
 	c.mu.Unlock()
 	for _, ids := range collectors {
 		for _, id := range ids {
@@ -199,10 +229,22 @@
 			if m == nil || id >= c.Self {
 				continue
 			}
+			report := LoadReport{Router: c.Self, Covers: covers, List: list.Hash}
+			c.mu.Lock()
+			known := c.lists[m.ID] == list.Hash && list.Hash != 0
+			c.mu.Unlock()
+			if known {
+				report.Counts = list.Encode(sums)
+			} else {
+				report.Loads = sums
+			}
 			calls.Go(func() {
-				if response, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: sums, Covers: covers}); ok {
-					c.mu.Lock()
-					defer c.mu.Unlock()
+				response, ok := c.call(ctx, *m, list, report)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.lists[m.ID] = response.List
+				c.compact = c.compact && response.List != 0
+				if ok {
 					c.table.SetDomain(now, m.ID, response.Loads, response.Covers)
 				}
 			})
@@ -222,8 +264,9 @@
 	return LoadTotals{Loads: loads, Covers: covers}
 }
 
-// call sends a message to another router. It returns false if that fails.
-func (c *Collector) call(ctx context.Context, m bergamotdale.Member, request LoadReport) (LoadTotals, bool) {
+// call sends a message to another router, which may answer in the order of the list. It
+// returns false if that fails.
+func (c *Collector) call(ctx context.Context, m bergamotdale.Member, list tracker.LoadList, request LoadReport) (LoadTotals, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var response LoadTotals
@@ -231,9 +274,34 @@
 		c.Logger.Debug("message to a load collector failed", zap.String("peer", m.ID), zap.Error(err))
 		return LoadTotals{}, false
 	}
+	if response.List != 0 {
+		loads, ok := list.Decode(response.List, response.Counts)
+		if !ok {
+			c.Logger.Debug("loads from a collector in an unknown order", zap.String("peer", m.ID))
+			return LoadTotals{}, false
+		}
+		response.Loads = loads
+	}
 	return response, response.Covers > 0
 }
 
+// list returns the list by which loads are exchanged without IDs, an empty one if they
+// are not.
+func (c *Collector) list() tracker.LoadList {
+	if !c.Compact {
+		return tracker.LoadList{}
+	}
+	return c.Tracker.LoadList()
+}
+
+// answer returns the response with the sums to a report.
+func (c *Collector) answer(r LoadReport, loads map[string]int, covers int) LoadTotals {
+	if list := c.list(); r.List != 0 && r.List == list.Hash {
+		return LoadTotals{Covers: covers, List: list.Hash, Counts: list.Encode(loads)}
+	}
+	return LoadTotals{Loads: loads, Covers: covers}
+}
+
 // Handle stores the loads of another router and responds with the sums that it
 // needs.
 func (c *Collector) Handle(_ context.Context, r LoadReport) (LoadTotals, error) {
@@ -243,11 +311,18 @@
 	defer c.mu.Unlock()
 	c.table.SetOwn(own)
 	if r.Covers > 0 {
+		if r.Counts != nil {
+			var ok bool
+			if r.Loads, ok = c.list().Decode(r.List, r.Counts); !ok {
+				// Without a list in the response, the next report has the IDs.
+				return LoadTotals{}, nil
+			}
+		}
 		c.table.SetDomain(now, r.Router, r.Loads, r.Covers)
 		loads, covers := c.table.Sums(now)
-		return LoadTotals{Loads: loads, Covers: covers}, nil
+		return c.answer(r, loads, covers), nil
 	}
 	c.table.SetRouter(now, r.Router, r.Loads)
 	loads, covers := c.table.Totals(now)
-	return LoadTotals{Loads: loads, Covers: covers}, nil
+	return c.answer(r, loads, covers), nil
 }
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -55,7 +55,7 @@
 // target of 750 endpoints.
 func TestInterval(t *testing.T) {
 	for endpoints := range 751 {
-		interval := collector.Interval(endpoints)
+		interval := collector.Interval(endpoints, false)
 		assert.Assert(t, float64(700+20*endpoints)/interval.Seconds() <= 7501)
 		assert.Assert(t, interval >= 300*time.Millisecond && interval <= 2200*time.Millisecond, "%d endpoints: %s", endpoints, interval)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 	Settings *loader.GatewaySettings
 	Logger   *zap.Logger
 	// Adapters provides the implementations of bergamotdale.ChangeStore,
-	// RecordStore, Dialect, Layout, Peer and Clock; see NewAdapters.
+	// RecordStore, Dialect, Layout, Features, Peer and Clock; see NewAdapters.
 	Adapters do.Injector
 	// Elapsed reads a clock that advances also while the VM is suspended, such
 	// as SinceBoot.
@@ -172,6 +172,8 @@
 	g.Logger.Info("descriptors divided", zap.Int("limit", descriptors), zap.Int("clients", g.descriptors.Clients),
 		zap.Int("idle-endpoints", g.descriptors.IdleEndpoints))
 	g.tracker = tracker.New()
+	features := do.MustInvoke[bergamotdale.Features](i)
+	g.tracker.LiveLoad = features.LiveLoad
 	g.dialer = &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
@@ -228,7 +230,7 @@
 	}
 	g.collector = &collector.Collector{
 		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
-		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live,
+		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live, Compact: features.LiveLoad,
 	}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	g.relayer = &relayer.Relayer{
@@ -286,6 +288,8 @@
 			func() int64 { return int64(g.pinner.PinCount()) }},
 		{"bergamotdale.doubtful.choices", "choices of an endpoint while the router did not know in time which endpoints leave",
 			g.doubtfulChoices.Load},
+		{"bergamotdale.load.busiest", "estimated load of the busiest endpoint in percent of its share, 0 if no service is placed by estimated loads",
+			func() int64 { return int64(100 * g.tracker.Busiest(g.clock.Now())) }},
 	} {
 		if err := g.meter.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
 			return errors.Trace(err)
@@ -408,9 +412,9 @@
 }
 
 // NewAdapters returns an injector with the adapters of a gateway process: the
-// given store, dialect and layout of the platform, the system clock and an HTTP
-// client for other routers.
-func NewAdapters(store Store, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout) do.Injector {
+// given store, dialect and layout of the platform, the features that the settings call
+// for, the system clock and an HTTP client for other routers.
+func NewAdapters(store Store, dialect bergamotdale.Dialect, layout bergamotdale.StoreLayout, features bergamotdale.Features) do.Injector {
 	i := do.New()
 	do.ProvideValue[bergamotdale.Clock](i, bergamotdale.SystemClock{})
 	do.Provide(i, func(do.Injector) (bergamotdale.Peer, error) { return peerclient.New(), nil })
@@ -418,5 +422,6 @@
 	do.ProvideValue[bergamotdale.RecordStore](i, store)
 	do.ProvideValue(i, dialect)
 	do.ProvideValue(i, layout)
+	do.ProvideValue(i, features)
 	return i
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -338,6 +338,7 @@
 		}
 		if count := j.framer.EventCount() - eventsBefore; count > 0 {
 			result.Latency = j.relayer.Clock.Now().Sub(startTime) / time.Duration(count)
+			result.EventTime = result.Latency
 		}
 		if errors.Is(err, io.EOF) && j.framer.Pending() == 0 {
 			if !j.started {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -66,7 +66,13 @@
 
 func (testDialect) ResponseInfo(_ int, h http.Header) bergamotdale.ResponseInfo {
 	closedMS, _ := strconv.Atoi(h.Get("X-Closed"))
+	var load *bergamotdale.ReportedLoad
+	if text := h.Get("X-Load"); text != "" {
+		load = &bergamotdale.ReportedLoad{}
+		_, _ = fmt.Sscanf(text, "%d,%d,%g", &load.Running, &load.Slots, &load.Slowdown)
+	}
 	return bergamotdale.ResponseInfo{
+		Load:      load,
 		RequestID: h.Get("X-Id"), NotExecuted: h.Get("X-Refused") != "", Signed: h.Get("X-Signed") != "",
 		Leaving: h.Get("X-Leaving") != "", ClosedFor: time.Duration(closedMS) * time.Millisecond,
 	}
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -332,10 +332,7 @@
 			candidates, records = r.Tracker.KeepResponding(since, candidates, records)
 		}
 	}
-	limits := r.limits.Load()
-	index := limits.Placement.Place(balancer.Request{
-		RequestID: j.envelope.RequestID, Key: j.key, HasPrompt: len(j.envelope.Parts) > 0,
-	}, candidates, r.loadBound(limits))
+	index := j.choose(candidates, r.limits.Load())
 	if index < 0 {
 		return choice{}, j.noEndpoint(tried)
 	}
--- a/relayer/leaving.go
+++ b/relayer/leaving.go
@@ -60,6 +60,7 @@
 // observeResponse records what the response says about its endpoint.
 func (j *job) observeResponse(target subscriber.Endpoint, info bergamotdale.ResponseInfo) {
 	r := j.relayer
+	j.recordLoad(target, info.Load)
 	if info.ClosedFor != 0 {
 		if d, isNew := r.Gatekeeper.RecordClosed(target, info.ClosedFor); isNew {
 			r.Logger.Info("endpoint named a time", zap.String("endpoint", target.ID), zap.Duration("for", d),
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -13,6 +13,8 @@
 
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/ejector"
+	"github.com/bergamotdale/bergamotdale/matcher"
+	"github.com/bergamotdale/bergamotdale/predictor"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
 
@@ -42,6 +44,8 @@
 	// Latency is a latency that does not depend on the size of the request, such
 	// as the time per event of a stream; zero if unknown.
 	Latency time.Duration
+	// EventTime is the time per event of a stream; zero for other responses.
+	EventTime time.Duration
 }
 
 // endpoint holds the load and the health of one endpoint.
@@ -59,6 +63,11 @@
 	// summary covers the requests of this router since the last evaluation, and
 	// previous those of the interval before.
 	summary, previous ejector.Summary
+	// slots and usable are those of the latest record, and predicted is what the
+	// endpoint has said and shown of its load and speed.
+	slots     int
+	usable    bool
+	predicted predictor.Endpoint
 }
 
 // Report holds the loads and outcomes that a router reports to other routers. The
@@ -90,6 +99,11 @@
 // Tracker holds the load and the health of all endpoints. Its methods may be
 // called concurrently.
 type Tracker struct {
+	// LiveLoad states that services whose endpoints report their load are placed by
+	// estimates of it. Without it that applies to services one of whose endpoints states
+	// the speed of its machine. It is set before use.
+	LiveLoad bool
+
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
 	peers     map[string]*peerReport
@@ -100,6 +114,15 @@
 	// totals holds the loads of other routers that a collector has added up; nil
 	// if there were none.
 	totals *totals
+	// services holds what is known of services with reported loads, by name, and keys
+	// the keys of the latest requests to them.
+	services map[string]*liveService
+	table    *matcher.Table
+	keys     *predictor.Keys
+	// startedAt is the time of the first request to such a service.
+	startedAt time.Time
+	// list holds the endpoints in the order of LoadList.
+	list LoadList
 }
 
 // totals holds the sums of the loads of other routers.
@@ -116,6 +139,7 @@
 		endpoints: map[string]*endpoint{},
 		peers:     map[string]*peerReport{},
 		groups:    map[string]*ejector.Group{},
+		services:  map[string]*liveService{},
 	}
 }
 
@@ -127,14 +151,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	present := map[string]bool{}
+	t.list = newLoadList(state)
 	for _, e := range state.AllEndpoints() {
 		present[e.ID] = true
 		existing, ok := t.endpoints[e.ID]
 		if ok && existing.incarnation == e.Incarnation {
+			existing.slots, existing.usable = e.Slots, e.Usable(now)
 			continue
 		}
 		t.group(now, e.Service).Join(now, e.ID, false)
-		fresh := &endpoint{service: e.Service, incarnation: e.Incarnation}
+		fresh := &endpoint{service: e.Service, incarnation: e.Incarnation, slots: e.Slots, usable: e.Usable(now)}
 		if ok {
 			fresh.inFlight = existing.inFlight
 		}
@@ -146,6 +172,7 @@
 			delete(t.endpoints, id)
 		}
 	}
+	t.updateServices(state)
 }
 
 // group returns the outlier detection of the service and creates it on first use.
@@ -169,6 +196,7 @@
 ) ([]balancer.Candidate, []subscriber.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	others := t.othersNow(now)
 	candidates := make([]balancer.Candidate, 0, len(endpoints))
 	records := make([]subscriber.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
@@ -181,7 +209,9 @@
 			c.Suspended = now.Before(known.suspendedUntil)
 			c.Weight = t.group(now, e.Service).State(e.ID).Weight
 		}
+		own := c.Load
 		c.Load += t.peerLoad(now, e.ID)
+		c.Estimate = t.estimate(now, e, predictor.Count{Own: own, Others: c.Load - own, At: others})
 		candidates = append(candidates, c)
 		records = append(records, e)
 	}
@@ -222,6 +252,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.totals = &totals{loads: loads, covers: covers, receivedAt: now}
+	t.adjust(now)
 }
 
 // HasTotals reports whether the loads come from the sums of a collector.
@@ -266,6 +297,9 @@
 		e.failures = 0
 		e.suspendedUntil = time.Time{}
 	}
+	if r.EventTime > 0 {
+		e.predicted.RecordEventTime(r.EventTime)
+	}
 	if r.Latency > 0 {
 		// An exponential moving average with a weight of 1/4 for the latest value.
 		if e.summary.Latency == 0 {
@@ -314,6 +348,7 @@
 		e.previous, e.summary = e.summary, ejector.Summary{Latency: e.summary.Latency}
 	}
 	t.observePeerReports(now)
+	t.compareEventTimes()
 	reducedWeights := map[string]float64{}
 	for _, g := range t.groups {
 		g.Evaluate(now)
@@ -369,4 +404,7 @@
 			delete(t.peers, id)
 		}
 	}
+	if !t.totalsRecent(now) {
+		t.adjust(now)
+	}
 }
