--- a/balancer/live.go
+++ b/balancer/live.go
@@ -9,10 +9,11 @@
 
 const (
 	// excessGain is how strongly an excess that the latest load shows counts, compared
-	// with one that has lasted for a second at the rate of package predictor. A load of
-	// 1.2 times the share halves the part of the requests that the endpoint gets, and
-	// one of twice the share leaves one in 100.
-	excessGain = 5
+	// with the sum of package predictor. A load of 1.2 times the share leaves two thirds
+	// of the requests that the endpoint would get, and one of twice the share one in 17.
+	// More would answer to what the counts show by chance: 5 cost 1 in 100 cached prompts
+	// and made the load no more even.
+	excessGain = 3
 	// furtherPart is the part of the requests with a popular key that a further
 	// endpoint takes. If it took all that the first one leaves, a hot key would overrun
 	// one endpoint after the other, each until the loads show it.
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -154,8 +154,8 @@
 	return speed
 }
 
-// Excess returns the sum of the excess over the endpoint's share, at least 0. Each
-// 1 is a reason to give the endpoint 1/e of the requests that it would get otherwise.
+// Excess returns the sum of the excess over the endpoint's share, at least 0. With each 1
+// more the endpoint gets 1/e of the requests that it would get otherwise.
 func (e *Endpoint) Excess() float64 { return e.excess }
 
 // Adjust adds the excess of the load over the share to the sum when new counts arrive.
--- a/predictor/replay_test.go
+++ b/predictor/replay_test.go
@@ -21,6 +21,7 @@
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/collector"
+	"github.com/bergamotdale/bergamotdale/exchanger"
 	"github.com/bergamotdale/bergamotdale/hasher"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 	"github.com/bergamotdale/bergamotdale/tracker"
@@ -230,6 +231,7 @@
 		x.tracker.UpdateEndpoints(start, state)
 		wait := time.Duration(r.random.Int64N(int64(collector.Interval(f.endpoints, true))))
 		r.at(wait, func() { r.report(x) })
+		r.at(wait, func() { r.exchange(x) })
 		r.at(wait, func() { r.evaluate(x) })
 	}
 	for i := range f.kinds {
@@ -248,6 +250,20 @@
 	r.at(r.now+wait/2+time.Duration(r.random.Int64N(int64(wait))), func() { r.report(x) })
 }
 
+// exchange exchanges the reports of two routers as package exchanger does, in an order that
+// does not depend on chance.
+func (r *replay) exchange(x *router) {
+	if y := r.routers[r.random.IntN(len(r.routers))]; y != x {
+		x.tracker.MergeReport(r.Now(), y.id, y.tracker.Report())
+		y.tracker.MergeReport(r.Now(), x.id, x.tracker.Report())
+	}
+	wait := exchanger.Interval(len(r.routers) - 1)
+	if x.tracker.HasTotals(r.Now()) {
+		wait = max(wait, 500*time.Millisecond)
+	}
+	r.at(r.now+wait, func() { r.exchange(x) })
+}
+
 func (r *replay) evaluate(x *router) {
 	x.tracker.Evaluate(r.Now())
 	r.at(r.now+time.Second, func() { r.evaluate(x) })
--- a/tracker/live.go
+++ b/tracker/live.go
@@ -90,15 +90,24 @@
 
 // isLive is Live. The lock is held.
 func (t *Tracker) isLive(now time.Time, service string) bool {
-	s := t.services[service]
+	return t.liveService(now, service) != nil
+}
+
+// liveService returns the service if requests to it are placed by estimated loads, else
+// nil. The lock is held.
+func (t *Tracker) liveService(now time.Time, name string) *liveService {
+	s := t.services[name]
 	if s == nil {
-		return false
+		return nil
 	}
 	at := s.statedAt
 	if t.LiveLoad {
 		at = s.reportedAt
 	}
-	return !at.IsZero() && now.Sub(at) < reportedPeriod
+	if at.IsZero() || now.Sub(at) >= reportedPeriod {
+		return nil
+	}
+	return s
 }
 
 // RecordKey records that a request with the key is placed and returns whether the key is
@@ -127,13 +136,9 @@
 	return latest
 }
 
-// estimate returns the estimate for an endpoint with the count. The lock is held.
-func (t *Tracker) estimate(now time.Time, record subscriber.Endpoint, c predictor.Count) balancer.Estimate {
-	if !t.isLive(now, record.Service) {
-		return balancer.Estimate{}
-	}
-	s := t.services[record.Service]
-	known := t.endpoints[record.ID]
+// estimate returns the estimate for an endpoint of the service, nil if it is unknown, with
+// the count.
+func (s *liveService) estimate(now time.Time, known *endpoint, c predictor.Count) balancer.Estimate {
 	if known == nil {
 		return balancer.Estimate{Load: float64(c.Own + c.Others), Speed: 1, Memory: s.memory}
 	}
@@ -165,7 +170,7 @@
 func (t *Tracker) adjust(now time.Time) {
 	others := t.othersNow(now)
 	for name, s := range t.services {
-		if !t.isLive(now, name) || now.Sub(s.adjustedAt) < adjustInterval {
+		if t.liveService(now, name) == nil || now.Sub(s.adjustedAt) < adjustInterval {
 			continue
 		}
 		s.adjustedAt = now
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -196,7 +196,14 @@
 ) ([]balancer.Candidate, []subscriber.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := t.othersNow(now)
+	var live *liveService
+	var others time.Time
+	if len(endpoints) > 0 {
+		// All endpoints of a choice are of one service.
+		if live = t.liveService(now, endpoints[0].Service); live != nil {
+			others = t.othersNow(now)
+		}
+	}
 	candidates := make([]balancer.Candidate, 0, len(endpoints))
 	records := make([]subscriber.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
@@ -204,14 +211,17 @@
 			continue
 		}
 		c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Weight: 1, SameFailureDomain: e.FailureDomain == domain}
-		if known := t.endpoints[e.ID]; known != nil {
+		known := t.endpoints[e.ID]
+		if known != nil {
 			c.Load = known.inFlight
 			c.Suspended = now.Before(known.suspendedUntil)
 			c.Weight = t.group(now, e.Service).State(e.ID).Weight
 		}
 		own := c.Load
 		c.Load += t.peerLoad(now, e.ID)
-		c.Estimate = t.estimate(now, e, predictor.Count{Own: own, Others: c.Load - own, At: others})
+		if live != nil {
+			c.Estimate = live.estimate(now, known, predictor.Count{Own: own, Others: c.Load - own, At: others})
+		}
 		candidates = append(candidates, c)
 		records = append(records, e)
 	}
