tracker: the list of endpoints is made when it is used

Cause: the sorted list and its hash, which only the collectors' compact messages and the estimates need, were made at every change of the store, which in a service of 750 endpoints is hundreds of times a second, and in all deployments.

Change: they are made from the latest state on first use.

--- a/tracker/list.go
+++ b/tracker/list.go
@@ -57,5 +57,17 @@
 func (t *Tracker) LoadList() LoadList {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.list
+	return t.loadList()
+}
+
+// loadList is LoadList. The lock is held.
+func (t *Tracker) loadList() LoadList {
+	if t.state == nil {
+		return LoadList{}
+	}
+	if t.list == nil {
+		list := newLoadList(t.state)
+		t.list = &list
+	}
+	return *t.list
 }
--- a/tracker/live.go
+++ b/tracker/live.go
@@ -46,8 +46,8 @@
 // memory returns the memory of an endpoint of the service by the configuration. The lock
 // is held.
 func (t *Tracker) memory(service string) int64 {
-	if t.table != nil {
-		if s := t.table.Service(service); s != nil {
+	if t.state != nil && t.state.Table != nil {
+		if s := t.state.Table.Service(service); s != nil {
 			return s.CacheTokens
 		}
 	}
@@ -56,7 +56,7 @@
 
 // updateServices takes the properties of the services from the state. The lock is held.
 func (t *Tracker) updateServices(state *subscriber.State) {
-	t.table = state.Table
+	t.state, t.list = state, nil
 	for name, s := range t.services {
 		s.memory = t.memory(name)
 	}
@@ -152,8 +152,11 @@
 
 // compareEventTimes updates the mean times per event. The lock is held.
 func (t *Tracker) compareEventTimes() {
+	if len(t.services) == 0 {
+		return
+	}
 	sums, counts := map[string]float64{}, map[string]int{}
-	for _, id := range t.list.ids {
+	for _, id := range t.loadList().ids {
 		e := t.endpoints[id]
 		if eventTime, ok := e.predicted.EventTime(); ok && e.usable {
 			sums[e.service] += eventTime
@@ -178,7 +181,7 @@
 		var loads, capacities []float64
 		total, capacity := 0.0, 0.0
 		// In the order of the list, so that the sums do not depend on chance.
-		for _, id := range t.list.ids {
+		for _, id := range t.loadList().ids {
 			e := t.endpoints[id]
 			if e.service != name || !e.usable || now.Before(e.suspendedUntil) {
 				continue
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -13,7 +13,6 @@
 
 	"github.com/bergamotdale/bergamotdale/balancer"
 	"github.com/bergamotdale/bergamotdale/ejector"
-	"github.com/bergamotdale/bergamotdale/matcher"
 	"github.com/bergamotdale/bergamotdale/predictor"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
@@ -117,12 +116,13 @@
 	// services holds what is known of services with reported loads, by name, and keys
 	// the keys of the latest requests to them.
 	services map[string]*liveService
-	table    *matcher.Table
 	keys     *predictor.Keys
 	// startedAt is the time of the first request to such a service.
 	startedAt time.Time
-	// list holds the endpoints in the order of LoadList.
-	list LoadList
+	// state is the latest one, and list its endpoints, nil until it is used. Records
+	// change many times a second, and the list is used a few times a second.
+	state *subscriber.State
+	list  *LoadList
 }
 
 // totals holds the sums of the loads of other routers.
@@ -151,7 +151,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	present := map[string]bool{}
-	t.list = newLoadList(state)
 	for _, e := range state.AllEndpoints() {
 		present[e.ID] = true
 		existing, ok := t.endpoints[e.ID]
