--- a/collector/demands_test.go
+++ b/collector/demands_test.go
@@ -65,7 +65,7 @@
 	data, err := json.Marshal(d)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) <= 32*40+40, "%d bytes", len(data))
-	interval := collector.IntervalWithDemands(750, 32)
+	interval := collector.IntervalWithDemands(750, 32, false)
 	assert.Assert(t, float64(700+20*750+32*40)/interval.Seconds() <= 7501)
 	data, err = json.Marshal(collector.LoadReport{Router: "r"})
 	assert.NilError(t, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,6 +181,8 @@
 		zap.Int("idle-endpoints", g.descriptors.IdleEndpoints))
 	g.divideMemory()
 	g.tracker = tracker.New()
+	features := do.MustInvoke[bergamotdale.FeatureReader](i)(g.Settings.Terms)
+	g.tracker.LiveLoad = features.LiveLoad
 	g.dialer = &dialer.Dialer{ReceiveBuffer: g.memory.ReceiveBuffer, MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
@@ -238,7 +240,7 @@
 	}
 	g.collector = &collector.Collector{
 		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
-		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live,
+		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live, Compact: features.LiveLoad,
 	}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	g.relayer = &relayer.Relayer{
@@ -315,6 +317,8 @@
 			func() int64 { return g.reserver.Stats().Dropped }},
 		{"bergamotdale.connections.rejected", "connections of clients that were closed at once since the start, as too many were open",
 			func() int64 { return g.clientServer.Rejected() }},
+		{"bergamotdale.load.busiest", "estimated load of the busiest endpoint in percent of its share, 0 if no service is placed by estimated loads",
+			func() int64 { return int64(100 * g.tracker.Busiest(g.clock.Now())) }},
 	} {
 		if err := g.meter.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
 			return errors.Trace(err)
--- a/relayer/leaving.go
+++ b/relayer/leaving.go
@@ -69,6 +69,7 @@
 func (j *job) observeResponse(target subscriber.Endpoint, info bergamotdale.ResponseInfo) {
 	r := j.relayer
 	j.admission.reportsLoad = info.Load != nil
+	j.recordLoad(target, info.Load)
 	if info.ClosedFor != 0 {
 		if d, isNew := r.Gatekeeper.RecordClosed(target, info.ClosedFor); isNew {
 			r.Logger.Info("endpoint named a time", zap.String("endpoint", target.ID), zap.Duration("for", d),
