tracker, collector: routers of a failure domain tell each other which endpoints they suspend

Cause: when endpoints lose power, each router finds each of them by a request of its own, which is lost where it may not be repeated, and again after each suspension. Change: the reports to the collector of a failure domain carry the suspended endpoints, and its answers those of other routers. They stay within the domain, since a partition makes the routers of one domain suspend endpoints that others reach; a response within the last second outweighs them, and so does a report of more than half of a service. Off unless Collector.ShareSuspensions is set.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -53,6 +53,9 @@
 	// Covers is the number of routers whose loads are included, set between
 	// collectors and zero in the report of a single router.
 	Covers int `json:"covers,omitempty"`
+	// Suspended holds the endpoints that the router suspends, in the report of a single
+	// router.
+	Suspended []string `json:"suspended,omitempty"`
 }
 
 // LoadTotals carries the sums of the fleet to a router, or those of a failure domain
@@ -60,6 +63,10 @@
 type LoadTotals struct {
 	Loads  map[string]int `json:"loads,omitempty"`
 	Covers int            `json:"covers"`
+	// Suspended holds the endpoints that other routers of the failure domain suspend. It
+	// stays within the domain: a router behind a partition suspends endpoints that others
+	// reach.
+	Suspended []string `json:"suspended,omitempty"`
 }
 
 // Collector reports the loads of one router and collects those of others if this
@@ -73,6 +80,9 @@
 	Logger  *zap.Logger
 	// Members returns the live routers, this one included.
 	Members func() []bergamotdale.Member
+	// ShareSuspensions makes the routers of a failure domain tell each other which
+	// endpoints they suspend.
+	ShareSuspensions bool
 
 	mu sync.Mutex
 	// table is used only while other routers take this one for a collector.
@@ -106,6 +116,7 @@
 	case c.find(members, collectors, c.Self) != nil:
 		c.exchangeDomains(ctx, members, collectors)
 		c.mergeTotals(nil, c.totals())
+		c.mergeSuspended(c.suspended())
 	default:
 		c.report(ctx, members, collectors)
 	}
@@ -141,7 +152,7 @@
 			continue
 		}
 		own := c.Tracker.Report().Loads
-		totals, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: own})
+		totals, ok := c.call(ctx, *m, LoadReport{Router: c.Self, Loads: own, Suspended: c.ownSuspended(now)})
 		if !ok {
 			if c.avoidedUntil == nil {
 				c.avoidedUntil = map[string]time.Time{}
@@ -156,6 +167,7 @@
 			c.following = id
 		}
 		c.mergeTotals(own, totals)
+		c.mergeSuspended(totals.Suspended)
 		return
 	}
 }
@@ -247,7 +259,36 @@
 		loads, covers := c.table.Sums(now)
 		return LoadTotals{Loads: loads, Covers: covers}, nil
 	}
-	c.table.SetRouter(now, r.Router, r.Loads)
+	c.table.SetRouter(now, r.Router, r.Loads, r.Suspended)
 	loads, covers := c.table.Totals(now)
-	return LoadTotals{Loads: loads, Covers: covers}, nil
+	totals := LoadTotals{Loads: loads, Covers: covers}
+	if c.ShareSuspensions {
+		c.table.SetOwnSuspended(c.ownSuspended(now))
+		totals.Suspended = c.table.Suspended(now, c.Self, r.Router)
+	}
+	return totals, nil
+}
+
+// ownSuspended returns the endpoints that this router suspends, at most maxSuspended, or
+// nil if they are not shared.
+func (c *Collector) ownSuspended(now time.Time) []string {
+	if !c.ShareSuspensions {
+		return nil
+	}
+	ids := c.Tracker.Suspended(now)
+	return ids[:min(len(ids), maxSuspended)]
+}
+
+// suspended returns the endpoints that the routers reporting to this collector suspend.
+func (c *Collector) suspended() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Suspended(c.Clock.Now(), c.Self, c.Self)
+}
+
+// mergeSuspended passes the suspensions of other routers to the tracker.
+func (c *Collector) mergeSuspended(ids []string) {
+	if c.ShareSuspensions {
+		c.Tracker.SetPeerSuspensions(c.Clock.Now(), ids)
+	}
 }
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -66,10 +66,10 @@
 func TestTotals(t *testing.T) {
 	var a, b collector.Table
 	a.SetOwn(map[string]int{"x": 1})
-	a.SetRouter(start, "r1", map[string]int{"x": 2, "y": 1})
-	a.SetRouter(start, "r1", map[string]int{"x": 3})
+	a.SetRouter(start, "r1", map[string]int{"x": 2, "y": 1}, nil)
+	a.SetRouter(start, "r1", map[string]int{"x": 3}, nil)
 	b.SetOwn(nil)
-	b.SetRouter(start.Add(time.Second), "r2", map[string]int{"y": 5})
+	b.SetRouter(start.Add(time.Second), "r2", map[string]int{"y": 5}, nil)
 	loads, covers := b.Sums(start.Add(time.Second))
 	a.SetDomain(start.Add(time.Second), "b", loads, covers)
 	totals, n := a.Totals(start.Add(time.Second))
@@ -162,3 +162,89 @@
 }
 
 func (c *fixedClock) Now() time.Time { return c.now }
+
+// suspendedAt returns the candidates that a router takes for suspended.
+func suspendedAt(c *collector.Collector, now time.Time, ids []string) []string {
+	var suspended []string
+	for _, candidate := range loadsOf(c.Tracker, now, ids) {
+		if candidate.Suspended {
+			suspended = append(suspended, candidate.ID)
+		}
+	}
+	return suspended
+}
+
+// newFleet returns routers of several failure domains that share suspensions or do not.
+func newFleet(clock *fixedClock, routers, domains int, share bool) map[string]*collector.Collector {
+	all := members(routers, domains)
+	fleet := map[string]*collector.Collector{}
+	for _, m := range all {
+		tr := tracker.New()
+		tr.SetRouterCount(routers)
+		fleet[m.ID] = &collector.Collector{
+			Self: m.ID, Clock: clock, Tracker: tr, Peer: fleetPeer{routers: fleet}, Logger: zap.NewNop(),
+			Members: func() []bergamotdale.Member { return all }, ShareSuspensions: share,
+		}
+	}
+	return fleet
+}
+
+// Guards against routers that each have to lose requests at endpoints without power that
+// another router of their failure domain has found, against a suspension that crosses to
+// domains with another path to the endpoint, and against one that stays when its router
+// has lifted it or stopped.
+func TestSuspensionsAreSharedWithinAFailureDomain(t *testing.T) {
+	clock := &fixedClock{now: start}
+	fleet := newFleet(clock, 32, 4, true)
+	ids := []string{"e0", "e1", "e2", "e3", "e4"}
+	reportAll := func() {
+		for i := range 32 {
+			fleet[fmt.Sprint("r", i)].ReportOnce(context.Background())
+		}
+	}
+	check := func(want ...string) {
+		t.Helper()
+		reportAll()
+		reportAll()
+		for i := range 32 {
+			got := suspendedAt(fleet[fmt.Sprint("r", i)], clock.now, ids)
+			if i%4 == 0 {
+				assert.DeepEqual(t, got, want)
+			} else {
+				assert.Equal(t, len(got), 0, "r%d of another domain: %v", i, got)
+			}
+		}
+	}
+	fleet["r4"].Tracker.Suspend(start, "e1", "s")
+	check("e1")
+	fleet["r8"].Tracker.Suspend(start, "e3", "s")
+	check("e1", "e3")
+	fleet["r4"].Tracker.BeginRequest("e1", "s")
+	fleet["r4"].Tracker.EndRequest("e1", "s", tracker.Result{})
+	check("e3")
+	fleet["r12"].Tracker.RecordResponse(clock.now, "e3", "s")
+	assert.Equal(t, len(suspendedAt(fleet["r12"], clock.now, ids)), 0, "the endpoint has just responded to this router")
+	for _, id := range []string{"e0", "e1", "e2"} {
+		fleet["r8"].Tracker.Suspend(start, id, "s")
+	}
+	reportAll()
+	reportAll()
+	assert.Equal(t, len(suspendedAt(fleet["r4"], clock.now, ids)), 0, "one router suspends most of the service")
+	clock.now = clock.now.Add(2 * time.Second)
+	assert.Equal(t, len(suspendedAt(fleet["r4"], clock.now, ids)), 0, "the reports have expired")
+}
+
+// Guards against suspensions that are shared where the deployment does not call for it.
+func TestSuspensionsAreNotSharedByDefault(t *testing.T) {
+	clock := &fixedClock{now: start}
+	fleet := newFleet(clock, 32, 4, false)
+	fleet["r4"].Tracker.Suspend(start, "e1", "s")
+	for i := range 64 {
+		fleet[fmt.Sprint("r", i%32)].ReportOnce(context.Background())
+	}
+	for i := range 32 {
+		if i != 4 {
+			assert.Equal(t, len(suspendedAt(fleet[fmt.Sprint("r", i)], clock.now, []string{"e0", "e1", "e2"})), 0)
+		}
+	}
+}
--- a/collector/table.go
+++ b/collector/table.go
@@ -1,6 +1,8 @@
 package collector
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bergamotdale/bergamotdale"
@@ -19,6 +21,8 @@
 	collectorKey = "load-collectors"
 	// expiry is how long a report counts. It covers a few lost messages.
 	expiry = 1500 * time.Millisecond
+	// maxSuspended bounds the suspended endpoints in a message: 2 KB at 20 bytes an ID.
+	maxSuspended = 100
 )
 
 // Collectors returns the IDs of the collectors by failure domain, or nil if the
@@ -49,6 +53,8 @@
 	loads      map[string]int
 	covers     int
 	receivedAt time.Time
+	// suspended holds the endpoints that the router suspends.
+	suspended []string
 }
 
 // Table holds the reports that a collector has received. The zero value is ready.
@@ -56,6 +62,8 @@
 type Table struct {
 	// own holds the loads of the collector itself.
 	own map[string]int
+	// ownSuspended holds the endpoints that the collector itself suspends.
+	ownSuspended []string
 	// routers holds the reports of single routers, and domains the sums of other
 	// collectors, by ID. A router is in one of them at most once, since it reports
 	// to one collector.
@@ -65,12 +73,38 @@
 // SetOwn replaces the loads of the collector itself.
 func (t *Table) SetOwn(loads map[string]int) { t.own = loads }
 
-// SetRouter replaces the report of a router.
-func (t *Table) SetRouter(now time.Time, id string, loads map[string]int) {
+// SetRouter replaces the report of a router. suspended holds the endpoints that it
+// suspends.
+func (t *Table) SetRouter(now time.Time, id string, loads map[string]int, suspended []string) {
 	if t.routers == nil {
 		t.routers = map[string]report{}
 	}
-	t.routers[id] = report{loads: loads, covers: 1, receivedAt: now}
+	t.routers[id] = report{loads: loads, covers: 1, receivedAt: now, suspended: suspended}
+}
+
+// SetOwnSuspended replaces the endpoints that the collector itself suspends.
+func (t *Table) SetOwnSuspended(suspended []string) { t.ownSuspended = suspended }
+
+// Suspended returns up to maxSuspended endpoints that the collector itself or a router
+// that reports to it suspends, ordered by ID. The reports of the router with the ID
+// except, which may be that of the collector, are left out.
+func (t *Table) Suspended(now time.Time, self, except string) []string {
+	found := map[string]bool{}
+	if except != self {
+		for _, id := range t.ownSuspended {
+			found[id] = true
+		}
+	}
+	for router, r := range t.routers {
+		if router == except || now.Sub(r.receivedAt) >= expiry {
+			continue
+		}
+		for _, id := range r.suspended {
+			found[id] = true
+		}
+	}
+	ids := slices.Sorted(maps.Keys(found))
+	return ids[:min(len(ids), maxSuspended)]
 }
 
 // SetDomain replaces the sums of another collector.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -100,6 +100,8 @@
 	// totals holds the loads of other routers that a collector has added up; nil
 	// if there were none.
 	totals *totals
+	// peerSuspended holds the suspensions of other routers.
+	peerSuspended peerSuspensions
 }
 
 // totals holds the sums of the loads of other routers.
@@ -185,6 +187,7 @@
 		candidates = append(candidates, c)
 		records = append(records, e)
 	}
+	t.applyPeerSuspensions(now, candidates)
 	return candidates, records
 }
 
