--- a/collector/collector.go
+++ b/collector/collector.go
@@ -66,6 +66,9 @@
 	// Counts, it is the order of Counts, which replaces Loads between collectors.
 	List   uint64 `json:"list,omitempty"`
 	Counts []int  `json:"counts,omitempty"`
+	// Suspended holds the endpoints that the router suspends, in the report of a single
+	// router.
+	Suspended []string `json:"suspended,omitempty"`
 }
 
 // LoadTotals carries the sums of the fleet to a router, or those of a failure domain
@@ -77,6 +80,10 @@
 	// Counts replaces Loads if the request asked for it and both routers have the list.
 	List   uint64 `json:"list,omitempty"`
 	Counts []int  `json:"counts,omitempty"`
+	// Suspended holds the endpoints that other routers of the failure domain suspend. It
+	// stays within the domain: a router behind a partition suspends endpoints that others
+	// reach.
+	Suspended []string `json:"suspended,omitempty"`
 }
 
 // Collector reports the loads of one router and collects those of others if this
@@ -96,6 +103,9 @@
 	// routers that know the same endpoints. The messages then are a few times smaller
 	// and in a large fleet more frequent.
 	Compact bool
+	// ShareSuspensions reports whether the routers of a failure domain tell each other
+	// at this moment which endpoints they suspend; nil for never.
+	ShareSuspensions func(now time.Time) bool
 
 	mu sync.Mutex
 	// table and demands are used only while other routers take this one for a collector.
@@ -134,6 +144,7 @@
 	case c.find(members, collectors, c.Self) != nil:
 		c.exchangeDomains(ctx, members, collectors)
 		c.mergeTotals(LoadReport{}, c.totals())
+		c.mergeSuspended(c.suspended())
 	default:
 		c.report(ctx, members, collectors)
 	}
@@ -190,9 +201,10 @@
 		if m == nil || now.Before(c.avoidedUntil[id]) {
 			continue
 		}
-		own := LoadReport{Router: c.Self, Loads: c.Tracker.Report().Loads, Demands: c.ownDemands()}
 		list := c.list()
-		own.List = list.Hash
+		own := LoadReport{
+			Router: c.Self, Loads: c.Tracker.Report().Loads, Demands: c.ownDemands(), List: list.Hash, Suspended: c.ownSuspended(now),
+		}
 		totals, ok := c.call(ctx, *m, list, own)
 		if !ok {
 			if c.avoidedUntil == nil {
@@ -209,6 +221,7 @@
 		}
 		c.compact = totals.List != 0
 		c.mergeTotals(own, totals)
+		c.mergeSuspended(totals.Suspended)
 		return
 	}
 }
@@ -377,8 +390,42 @@
 		loads, covers := c.table.Sums(now)
 		return c.answer(r, loads, covers, c.demandSums(now, c.demands.sums)), nil
 	}
-	c.table.SetRouter(now, r.Router, r.Loads)
+	c.table.SetRouter(now, r.Router, r.Loads, r.Suspended)
 	c.demands.set(now, r.Router, r.Demands, false)
 	loads, covers := c.table.Totals(now)
-	return c.answer(r, loads, covers, c.demandSums(now, c.demands.totals)), nil
+	totals := c.answer(r, loads, covers, c.demandSums(now, c.demands.totals))
+	if c.sharesSuspensions(now) {
+		c.table.SetOwnSuspended(c.ownSuspended(now))
+		totals.Suspended = c.table.Suspended(now, c.Self, r.Router)
+	}
+	return totals, nil
+}
+
+// sharesSuspensions reports whether suspensions are shared at the moment.
+func (c *Collector) sharesSuspensions(now time.Time) bool {
+	return c.ShareSuspensions != nil && c.ShareSuspensions(now)
+}
+
+// ownSuspended returns the endpoints that this router suspends, at most maxSuspended, or
+// nil if they are not shared.
+func (c *Collector) ownSuspended(now time.Time) []string {
+	if !c.sharesSuspensions(now) {
+		return nil
+	}
+	ids := c.Tracker.Suspended(now)
+	return ids[:min(len(ids), maxSuspended)]
+}
+
+// suspended returns the endpoints that the routers reporting to this collector suspend.
+func (c *Collector) suspended() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Suspended(c.Clock.Now(), c.Self, c.Self)
+}
+
+// mergeSuspended passes the suspensions of other routers to the tracker.
+func (c *Collector) mergeSuspended(ids []string) {
+	if now := c.Clock.Now(); c.sharesSuspensions(now) {
+		c.Tracker.SetPeerSuspensions(now, ids)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,7 +240,7 @@
 	}
 	g.collector = &collector.Collector{
 		Self: g.self.ID, Peer: peer, Clock: g.clock, Tracker: g.tracker,
-		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live, Compact: features.LiveLoad,
+		Logger: g.Logger.Named("collector"), Members: g.gossiper.Live, Compact: features.LiveLoad, ShareSuspensions: g.tracker.AnyLive,
 	}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	g.relayer = &relayer.Relayer{
@@ -317,6 +317,8 @@
 			func() int64 { return g.reserver.Stats().Dropped }},
 		{"bergamotdale.connections.rejected", "connections of clients that were closed at once since the start, as too many were open",
 			func() int64 { return g.clientServer.Rejected() }},
+		{"bergamotdale.endpoints.suspended-by-peers", "endpoints that only other routers of the failure domain suspend",
+			func() int64 { return int64(g.tracker.PeerSuspendedCount(g.clock.Now())) }},
 		{"bergamotdale.load.busiest", "estimated load of the busiest endpoint in percent of its share, 0 if no service is placed by estimated loads",
 			func() int64 { return int64(100 * g.tracker.Busiest(g.clock.Now())) }},
 	} {
--- a/tracker/live.go
+++ b/tracker/live.go
@@ -213,3 +213,15 @@
 	}
 	return busiest
 }
+
+// AnyLive reports whether the requests to any service are placed by estimated loads.
+func (t *Tracker) AnyLive(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.services {
+		if t.isLive(now, name) {
+			return true
+		}
+	}
+	return false
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -123,6 +123,8 @@
 	// change many times a second, and the list is used a few times a second.
 	state *subscriber.State
 	list  *LoadList
+	// peerSuspended holds the suspensions of other routers.
+	peerSuspended peerSuspensions
 }
 
 // totals holds the sums of the loads of other routers.
@@ -224,6 +226,7 @@
 		candidates = append(candidates, c)
 		records = append(records, e)
 	}
+	t.applyPeerSuspensions(now, candidates)
 	return candidates, records
 }
 
