--- a/subscriber/departure.go
+++ b/subscriber/departure.go
@@ -68,7 +68,7 @@
 	if s.doubtUntil.IsZero() || now.Before(s.doubtUntil) {
 		return false
 	}
-	s.doubtUntil = time.Time{}
+	s.doubtUntil, s.writtenAfter = time.Time{}, time.Time{}
 	doubted := s.doubted
 	s.doubted = map[string]bergamotdale.Entry{}
 	for id, e := range doubted {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -137,6 +137,9 @@
 	// Random returns a random duration below its argument; nil for rand.N. It spreads
 	// the calls of many routers.
 	Random func(time.Duration) time.Duration
+	// OnRecord is called with each record of an endpoint that is applied, before the state
+	// has it, and also if nothing but its sequence differs from the last one; nil for none.
+	OnRecord func(Reading)
 	// OnBatch is called with each batch read from the store, whether or not it
 	// changes the state; nil for none.
 	OnBatch func(bergamotdale.Batch)
@@ -175,6 +178,8 @@
 	doubtUntil time.Time
 	// isFirstOfEra is true while the first content of a later era is applied.
 	isFirstOfEra bool
+	// writtenAfter is Reading.WrittenAfter of the records that are being applied.
+	writtenAfter time.Time
 }
 
 // State returns the latest state, which is empty before the first read.
@@ -253,6 +258,7 @@
 			return false, errors.Annotatef(bergamotdale.ErrUnavailable, "content of the former era %d, not %d", batch.Era, s.position.Era)
 		}
 		s.beginEra(batch)
+		s.setWrittenAfter()
 		s.replaceAll(batch.Entries)
 		s.isFirstOfEra = false
 		stateChanged = true
@@ -264,6 +270,7 @@
 		if batch.Era != s.position.Era {
 			return false, errors.Annotatef(bergamotdale.ErrCompacted, "changes of era %d, not %d", batch.Era, s.position.Era)
 		}
+		s.setWrittenAfter()
 		for _, c := range batch.Changes {
 			if c.Deleted {
 				stateChanged = s.applyDeletion(c.Key) || stateChanged
@@ -372,6 +379,7 @@
 		return false
 	}
 	delete(s.doubted, id)
+	s.reportRecord(e, record)
 	old, known := s.endpoints[id]
 	if known {
 		record = s.keepDraining(old.EndpointRecord, record)
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -239,3 +239,31 @@
 	after, _ := d.Age()
 	assert.Assert(t, after >= before, "a watch that lags by 1 s must not confirm a state newer than the previous read")
 }
+
+// Guards against a record that is not reported because only its sequence has changed, and
+// against one that counts as written later than it may have been.
+func TestRecordsAreReported(t *testing.T) {
+	readings := make(chan subscriber.Reading, 8)
+	s := &scriptedStore{answers: make(chan answer), calls: make(chan int64)}
+	began := time.Now()
+	d := &subscriber.Subscriber{
+		Store: s, Dialect: jsonDialect{}, Clock: bergamotdale.SystemClock{}, Logger: zap.NewNop(),
+		Layout:   bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/"},
+		Elapsed:  func() time.Duration { return time.Since(began) + time.Hour },
+		OnRecord: func(r subscriber.Reading) { readings <- r },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = d.Run(ctx) }()
+	written := func(sequence int64) bergamotdale.Entry {
+		value := marshal(t, bergamotdale.EndpointRecord{Service: "s", Address: "a", Sequence: sequence})
+		return bergamotdale.Entry{Key: "endpoint/a", Value: value, Version: sequence}
+	}
+	s.answerCall(t, 0, answer{batch: bergamotdale.Batch{Entries: []bergamotdale.Entry{written(4)}, Revision: 5, Lag: time.Second}})
+	first := <-readings
+	assert.Assert(t, first.Initial && first.WrittenAfter.IsZero() && first.Revision == 4 && !first.ReadAt.Before(began))
+	s.answerCall(t, 5, answer{batch: bergamotdale.Batch{Changes: []bergamotdale.Change{{Entry: written(6)}}, Revision: 6}})
+	second := <-readings
+	assert.Assert(t, !second.Initial && second.Sequence == 6)
+	assert.Assert(t, !second.WrittenAfter.After(first.ReadAt.Add(-time.Second)) && second.WrittenAfter.After(began.Add(-2*time.Second)), second.WrittenAfter)
+}
