gateway, relayer: cold endpoints get requests only in this router's turn

Cause: the pacer was not called.

Change: a cold endpoint without a turn is left out at the choice; the turn is taken directly before the write, after the gatekeeper's check, so that of two requests of a router one is placed elsewhere, without a charge to the retry budget. The question for an incarnation takes a turn too. A cold endpoint is no successor of a silent one and no alternative to a failed one, as it may have no turn when the request is written. If all endpoints that could take a request are cold, it is refused with the time of the next turn or of the end of the cold period. A refused connection is spread by gossip with the incarnation, so that routers that did not try know before the record does. With content older than the promise of withdrawal a request needs a connection that is older than the content, or a turn. Cold-Ms of a response with 421 is ignored: another endpoint sent it. Gauges bergamotdale.endpoints.cold and bergamotdale.cold.turns.lost, log line 'endpoint is cold'. Without cold-excess and cold-slack, or cold-per-s of a service, nothing is limited.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/meter"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/pinner"
 	"github.com/bergamotdale/bergamotdale/relayer"
@@ -89,6 +90,7 @@
 	tracker     *tracker.Tracker
 	dialer      *dialer.Dialer
 	gatekeeper  *gatekeeper.Gatekeeper
+	pacer       *pacer.Pacer
 	gossiper    *gossiper.Gossiper
 	quarantine  *isolator.Isolator
 	pinner      *pinner.Pinner
@@ -133,7 +135,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
+	for _, component := range []func(context.Context) error{g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.followMembers, g.runReloader, g.selfMonitor.Run} {
 		componentCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return component(componentCtx) }, func(error) { cancel() })
 	}
@@ -174,6 +176,7 @@
 	g.tracker = tracker.New()
 	g.dialer = &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
+	g.pacer = pacer.New(g.self.ID, g.clock.Now())
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
@@ -193,6 +196,7 @@
 		OnChange: func(s *subscriber.State) {
 			g.tracker.UpdateEndpoints(g.clock.Now(), s)
 			g.gatekeeper.UpdateEndpoints(s)
+			g.pacer.UpdateEndpoints(g.clock.Now(), s)
 			g.chronicler.Observe(s)
 			g.pinner.Observe(s)
 			if s.Table != nil {
@@ -200,6 +204,7 @@
 				startupGate.Open()
 			}
 		},
+		OnRecord: g.recordReading,
 		OnBatch: func(b bergamotdale.Batch) {
 			g.chronicler.Apply(b)
 			g.replica.Apply(g.chronicler.Shared(b), g.source.Hops())
@@ -240,6 +245,8 @@
 		Locator:        locator.New(),
 		Dialer:         g.dialer,
 		Gatekeeper:     g.gatekeeper,
+		Pacer:          g.pacer,
+		OnGone:         g.spreadGone,
 		Quarantine:     g.quarantine,
 		Pins:           g.pinner,
 		Health:         g.selfMonitor,
@@ -281,6 +288,9 @@
 			func() int64 { return int64(g.gatekeeper.LeavingCount()) }},
 		{"bergamotdale.endpoints.closed", "endpoints that want no requests from this router for a time",
 			func() int64 { return int64(g.gatekeeper.ClosedCount()) }},
+		{"bergamotdale.endpoints.cold", "endpoints that are cold, or may be as they did not respond", g.coldCount},
+		{"bergamotdale.cold.turns.lost", "requests that another one of this router kept from a cold endpoint directly before the write",
+			g.pacer.LostTurns},
 		{"bergamotdale.domains.evacuated", "failure domains that the operators have evacuated",
 			func() int64 { return int64(g.directory.State().EvacuatedCount()) }},
 		{"bergamotdale.store.era", "era of the store that the state is from", g.directory.Era},
@@ -308,6 +318,10 @@
 		MaxEvent:     int(s.Responses.MaxEvent),
 		MaxResponse:  int64(s.Responses.MaxBody),
 	})
+	g.pacer.SetLimits(pacer.Limits{
+		Excess: s.Limits.ColdExcess, Slack: s.Limits.ColdSlack,
+		TrustedAge: replicator.Withdrawal(s.Limits.Withdrawal, s.Limits.Evacuation),
+	})
 	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Evacuation, s.Limits.Contact); err != nil {
 		g.Logger.Error("failed to apply the promises, keeping those in force", zap.Error(err))
 	} else {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -314,10 +314,24 @@
 	return s.holds
 }
 
-// Counts returns the number of endpoints that are known to be cold or may be since they did
-// not respond, and how many requests have lost their turn directly before the write.
-func (p *Pacer) Counts(now time.Time, state *subscriber.State) (cold int, lostTurns int64) {
-	endpoints := state.AllEndpoints()
+// IsLimiting reports whether there is a bound for cold endpoints of the service.
+func (p *Pacer) IsLimiting(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isLimiting(service)
+}
+
+// LostTurns returns how many requests were refused directly before the write.
+func (p *Pacer) LostTurns() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostTurns
+}
+
+// ColdCount returns the number of endpoints of the state that are known to be cold, or may
+// be since they did not respond.
+func (p *Pacer) ColdCount(now time.Time, state *subscriber.State) int {
+	endpoints, cold := state.AllEndpoints(), 0
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range endpoints {
@@ -329,5 +343,5 @@
 			cold++
 		}
 	}
-	return cold, p.lostTurns
+	return cold
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -76,6 +76,9 @@
 	if j.pin.Load() != nil {
 		if err := r.confirm(ctx, conn, target); err != nil {
 			j.tried[target.ID] = true
+			if isClosed(err) {
+				return closedFailure(err, target)
+			}
 			return unsentFailure(bergamotdale.Refuse(bergamotdale.CodeNoEndpoint,
 				"it is not certain that endpoint %s has the software version of the stream", target.ID).WithCause(err).After(refusedRetryAfter))
 		}
@@ -90,7 +93,7 @@
 		return fail
 	}
 	j.tried[target.ID] = true
-	written, fail := j.enter(ctx, target)
+	written, fail := j.enter(ctx, conn, target)
 	if fail != nil {
 		conn.Close()
 		return fail
@@ -183,6 +186,7 @@
 	status := exchange.Response.StatusCode
 	info := j.relayer.Dialect.ResponseInfo(status, exchange.Response.Header)
 	j.observeResponse(target, info)
+	j.relayer.observeCold(target, status, j.enteredAt, info)
 	switch {
 	case info.NotExecuted:
 		j.skipRefusalBody(target, exchange)
@@ -362,6 +366,7 @@
 func (j *job) suspendEndpoint(target subscriber.Endpoint, reason string, err error) {
 	r := j.relayer
 	r.Health.RecordFailure(target.ID)
+	r.recordUnreachable(target, err)
 	d := r.Tracker.Suspend(r.Clock.Now(), target.ID, target.Service)
 	r.Dialer.CloseIdle(target.Address)
 	r.Logger.Warn("endpoint suspended", zap.String("endpoint", target.ID), zap.String("reason", reason),
@@ -389,6 +394,7 @@
 		j.suspendEndpoint(target, "silent", cause)
 		return
 	}
+	r.recordUnreachable(target, cause)
 	fingerprint, suspects := j.fingerprint, j.suspectParts()
 	go func() {
 		r.Dialer.CloseIdle(target.Address)
--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -38,7 +38,7 @@
 	if r.isConfirmed(conn, target) {
 		return nil
 	}
-	if err := r.mayAsk(target); err != nil {
+	if err := r.checkWrite(conn, target); err != nil {
 		_ = conn.Close()
 		return errors.Trace(err)
 	}
@@ -50,16 +50,9 @@
 	return errors.Trace(err)
 }
 
-// mayAsk returns an error if the endpoint must get no request of this router's own.
-func (r *Relayer) mayAsk(target subscriber.Endpoint) error {
-	if r.isEvacuated(target) {
-		return errors.Annotatef(errEvacuated, "endpoint %s", target.ID)
-	}
-	return nil
-}
-
 // AskIncarnation asks an endpoint which incarnation it is, unless it has said that it
-// wants no requests or its failure domain is evacuated.
+// wants no requests, its failure domain is evacuated, or it is cold and this router has no
+// turn.
 func (r *Relayer) AskIncarnation(ctx context.Context, target subscriber.Endpoint) (int64, error) {
 	if len(r.Gatekeeper.Open([]subscriber.Endpoint{target})) == 0 {
 		return 0, errors.Errorf("endpoint %s takes no requests", target.ID)
@@ -68,7 +61,7 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	if err := r.mayAsk(target); err != nil {
+	if err := r.checkWrite(conn, target); err != nil {
 		_ = conn.Close()
 		return 0, errors.Trace(err)
 	}
@@ -81,11 +74,19 @@
 
 // fetchIncarnation asks the endpoint over the connection, which is closed after an error.
 func (r *Relayer) fetchIncarnation(ctx context.Context, conn *dialer.Conn, target subscriber.Endpoint) (int64, error) {
+	sentAt := r.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
 	document, err := r.Dialer.Fetch(ctx, conn, dialer.Request{
 		Method: http.MethodGet, URI: r.Dialect.IncarnationURI(), Host: target.Address, Header: http.Header{},
-		MatchesResponse: func(h http.Header) bool { return r.Dialect.ResponseInfo(http.StatusOK, h).RequestID == "" },
+		MatchesResponse: func(h http.Header) bool {
+			info := r.Dialect.ResponseInfo(http.StatusOK, h)
+			if info.RequestID != "" {
+				return false
+			}
+			r.observeCold(target, http.StatusOK, sentAt, info)
+			return true
+		},
 	}, maxIncarnationDocument)
 	if err != nil {
 		return 0, errors.Trace(err)
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/bergamotdale/bergamotdale"
+	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
 
@@ -25,6 +26,19 @@
 	return r.Directory.State().IsEvacuated(target.FailureDomain)
 }
 
+// checkWrite returns an error if no request may be written to the endpoint over the
+// connection now: its failure domain was evacuated meanwhile, or it is cold and this router
+// has no turn. It takes the turn.
+func (r *Relayer) checkWrite(conn *dialer.Conn, target subscriber.Endpoint) error {
+	if r.isEvacuated(target) {
+		return errors.Annotatef(errEvacuated, "endpoint %s", target.ID)
+	}
+	if !r.Pacer.Take(r.content(), target, r.connAge(conn, target)) {
+		return errors.Annotatef(errCold, "endpoint %s", target.ID)
+	}
+	return nil
+}
+
 // allEvacuated returns a refusal if endpoints of the service are evacuated and no other one
 // is usable, else nil.
 func (j *job) allEvacuated() *bergamotdale.Refusal {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -26,6 +26,7 @@
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/pinner"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/selfmonitor"
@@ -66,9 +67,11 @@
 
 func (testDialect) ResponseInfo(_ int, h http.Header) bergamotdale.ResponseInfo {
 	closedMS, _ := strconv.Atoi(h.Get("X-Closed"))
+	coldMS, _ := strconv.Atoi(h.Get("X-Cold"))
 	return bergamotdale.ResponseInfo{
 		RequestID: h.Get("X-Id"), NotExecuted: h.Get("X-Refused") != "", Signed: h.Get("X-Signed") != "",
 		Leaving: h.Get("X-Leaving") != "", ClosedFor: time.Duration(closedMS) * time.Millisecond,
+		ColdFor: time.Duration(coldMS) * time.Millisecond,
 	}
 }
 
@@ -281,7 +284,7 @@
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Targets = []bergamotdale.RouteTarget{{Service: "s", Weight: 1}}
 	config := bergamotdale.TrafficConfig{
-		Version: 1, Routes: []bergamotdale.Route{route}, Services: []bergamotdale.TrafficService{{Name: "s", CopiesCache: true}},
+		Version: 1, Routes: []bergamotdale.Route{route}, Services: []bergamotdale.TrafficService{{Name: "s", CopiesCache: true, ColdRate: 8.1, ColdStart: 3 * time.Second}},
 		Workspaces: []bergamotdale.WorkspaceKeys{{Name: "w", Keys: []string{"key"}}},
 	}
 	document, err := json.Marshal(config)
@@ -298,15 +301,19 @@
 	pins := pinner.New("router", clock)
 	pins.Chronicle = emptyChronicle{}
 	pins.Members, pins.Joined = func() []bergamotdale.Member { return nil }, func() bool { return true }
+	paces := pacer.New("router", clock.Now().Add(-time.Minute))
+	paces.SetMembers(clock.Now().Add(-time.Minute), nil, true, 0)
 	startTime := time.Now()
 	ready := make(chan struct{}, 1)
 	directory := &subscriber.Subscriber{
 		Store: s, Dialect: testDialect{}, Clock: clock, Logger: zap.NewNop(),
-		Layout:  bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/", EvacuationPrefix: "evacuate/"},
-		Elapsed: func() time.Duration { return time.Since(startTime) + time.Hour },
+		Layout:   bergamotdale.StoreLayout{ConfigKey: "config", EndpointPrefix: "endpoint/", EvacuationPrefix: "evacuate/"},
+		Elapsed:  func() time.Duration { return time.Since(startTime) + time.Hour },
+		OnRecord: func(r subscriber.Reading) { paces.RecordReading(r) },
 		OnChange: func(state *subscriber.State) {
 			endpointTracker.UpdateEndpoints(clock.Now(), state)
 			pins.Observe(state)
+			paces.UpdateEndpoints(clock.Now(), state)
 			select {
 			case ready <- struct{}{}:
 			default:
@@ -320,6 +327,7 @@
 	pins.Age = directory.Age
 	r := &relayer.Relayer{
 		Dialect: testDialect{}, Directory: directory, Tracker: endpointTracker, Locator: locator.New(), Dialer: &dialer.Dialer{}, Gatekeeper: gatekeeper.New(clock),
+		Pacer:      paces,
 		Quarantine: noQuarantine{}, Pins: pins, Clock: clock, Logger: zap.NewNop(),
 		Health:         &selfmonitor.Monitor{Clock: clock, Logger: zap.NewNop()},
 		Routers:        func() int { return 1 },
--- a/relayer/job.go
+++ b/relayer/job.go
@@ -326,7 +326,7 @@
 	r := j.relayer
 	now := r.Clock.Now()
 	endpoints := r.Directory.State().Endpoints(j.service)
-	candidates, records := r.Tracker.Candidates(now, j.ofPin(r.Gatekeeper.Open(endpoints)), r.FailureDomain, tried)
+	candidates, records := r.Tracker.Candidates(now, j.ofPin(r.open(endpoints)), r.FailureDomain, tried)
 	if r.Doubt != nil {
 		if since, doubtful := r.Doubt(now); doubtful {
 			candidates, records = r.Tracker.KeepResponding(since, candidates, records)
--- a/relayer/leaving.go
+++ b/relayer/leaving.go
@@ -22,29 +22,37 @@
 // enter returns a function to call once the beginning of the request has been
 // written to the target, or a failure if it must not be written: while the
 // connection was opened, the endpoint may have said that it leaves or named a time. While
-// others were being written, its failure domain may have been evacuated.
-func (j *job) enter(ctx context.Context, target subscriber.Endpoint) (func(), *failure) {
+// others were being written, its failure domain may have been evacuated. If it is cold, the
+// turn of this router is taken.
+func (j *job) enter(ctx context.Context, conn *dialer.Conn, target subscriber.Endpoint) (func(), *failure) {
 	written, err := j.relayer.Gatekeeper.Enter(ctx, target)
-	if err == nil && j.relayer.isEvacuated(target) {
-		written()
-		return nil, closedFailure(errEvacuated, target)
+	if err == nil {
+		if err = j.relayer.checkWrite(conn, target); err != nil {
+			written()
+		}
 	}
 	if err == nil {
 		j.enteredAt = j.relayer.Clock.Now()
 		return written, nil
 	}
 	fail := closedFailure(err, target)
-	fail.closed = errors.Is(err, gatekeeper.ErrClosed)
+	fail.closed = isClosed(err)
 	return nil, fail
 }
 
+// isClosed reports whether a request was not written because its endpoint may get none at
+// the moment.
+func isClosed(err error) bool {
+	return errors.Is(err, gatekeeper.ErrClosed) || errors.Is(err, errEvacuated) || errors.Is(err, errCold)
+}
+
 // hasUntried reports whether an endpoint is left that could take the request, if need
 // be a suspended one. Without one, a retry would only use up the retry budget of other
 // requests.
 func (j *job) hasUntried() bool {
 	r := j.relayer
 	now := r.Clock.Now()
-	for _, e := range j.ofPin(r.Gatekeeper.Open(r.Directory.State().Endpoints(j.service))) {
+	for _, e := range j.ofPin(r.open(r.Directory.State().Endpoints(j.service))) {
 		if e.Usable(now) && !j.tried[e.ID] {
 			return true
 		}
@@ -61,6 +69,9 @@
 	if refusal := j.allEvacuated(); refusal != nil {
 		return refusal
 	}
+	if refusal := j.allCold(); refusal != nil {
+		return refusal
+	}
 	return bergamotdale.Refuse(bergamotdale.CodeNoEndpoint, "no endpoint is available for service %s: %d known, %d already tried",
 		j.service, len(j.relayer.Directory.State().Endpoints(j.service)), len(tried)).After(refusedRetryAfter)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,6 +23,7 @@
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
+	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/pinner"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
@@ -150,6 +151,9 @@
 	Locator    *locator.Locator
 	Dialer     *dialer.Dialer
 	Gatekeeper *gatekeeper.Gatekeeper
+	Pacer      *pacer.Pacer
+	// OnGone is called for an endpoint whose port refuses connections; nil for none.
+	OnGone     func(subscriber.Endpoint)
 	Quarantine Quarantine
 	Pins       Pins
 	// Health tells whether this router itself is overloaded, so that timeouts are
--- a/relayer/returns.go
+++ b/relayer/returns.go
@@ -57,6 +57,11 @@
 		left = max(0, left-now.Sub(j.arrival))
 	}
 	delay := delayer.RetryDelay(j.envelope.RequestID, refusal.RetryAfter, j.verdict.Priority, left)
+	if next, ok := j.turnAfter(refusal, now); ok {
+		// Callers that were refused together return spread over the usual time.
+		delay = max(delay, next.Sub(now)+delayer.RetryDelay(j.envelope.RequestID, refusedRetryAfter, j.verdict.Priority, left))
+		refusal.RetryAfter = delay
+	}
 	if openings := j.openings(refusal, now); openings != nil {
 		caller := delayer.Caller{RequestID: j.envelope.RequestID, Priority: j.verdict.Priority, TimeLeft: left}
 		j.relayer.returns.update(j.service, func(s *serviceReturns) {
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -64,7 +64,7 @@
 	if !route.Idempotent() || sends >= route.MaxAttempts || j.budget().Level() < 1 {
 		return nil
 	}
-	next, refusal := j.place(tried)
+	next, refusal := j.place(j.withoutCold(tried))
 	if refusal != nil || next.suspended {
 		return nil
 	}
@@ -75,7 +75,7 @@
 		}
 		return nil
 	}
-	if j.recheck(next.target) != nil {
+	if j.recheck(next.target) != nil || r.needsTurn(conn, next.target) {
 		_ = conn.Close()
 		return nil
 	}
@@ -84,7 +84,7 @@
 
 // hasAlternative reports whether another endpoint is left that probably responds.
 func (j *job) hasAlternative() bool {
-	next, refusal := j.place(j.tried)
+	next, refusal := j.place(j.withoutCold(j.tried))
 	return refusal == nil && !next.suspended && j.recheck(next.target) == nil
 }
 
