dialer, relayer, platform: a replaced idle connection is a sign of a restart

Cause: in the new test on real processes an endpoint that started again at once under its ID got 126 requests in the busiest second of its cold period: its record came 1.2 s later, and routers that had only idle connections to it replaced them without a word.

Change: a connection says whether the endpoint had closed an idle one earlier than it states; the relayer then counts the endpoint as one that may be cold.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -70,6 +70,8 @@
 	// incarnation is that of the endpoint, as far as it has been asked on this connection;
 	// zero if not.
 	incarnation int64
+	// replaces is set if it was opened because the endpoint had closed an idle one early.
+	replaces bool
 	// expires is the time on Dialer.Elapsed from which the idle connection is not
 	// reused, because the endpoint may close it.
 	expires time.Duration
@@ -133,13 +135,17 @@
 // Get returns a connection to the address: an idle one if there is one, else a
 // new one. If it returns an error, nothing was sent to the endpoint.
 func (d *Dialer) Get(ctx context.Context, address string) (*Conn, error) {
+	replaces := false
 	for {
 		c := d.popIdle(address)
 		if c == nil {
 			break
 		}
-		if d.elapsed() < c.expires && c.quiet() {
-			return c, nil
+		if d.elapsed() < c.expires {
+			if c.quiet() {
+				return c, nil
+			}
+			replaces = true
 		}
 		c.Close()
 	}
@@ -150,7 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, address: address, openedAt: openedAt}, nil
+	return &Conn{Conn: conn, address: address, openedAt: openedAt, replaces: replaces}, nil
 }
 
 // Age returns the time since the connection was opened, or a little more.
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -135,6 +135,34 @@
 	}
 }
 
+// Guards against an endpoint that starts again unnoticed, because its idle connections are
+// replaced without a word, and against a first connection that counts as a sign of that.
+func TestReplacedConnectionIsTold(t *testing.T) {
+	served := make(chan net.Conn, 100)
+	address := serve(t, func(_, _ int, c net.Conn) {
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		served <- c
+	})
+	d := &dialer.Dialer{}
+	replaces := false
+	// The kernel may need a moment to deliver the FIN.
+	for tries := 0; !replaces && tries < 50; tries++ {
+		_, _, err := exchange(t, d, address)
+		assert.NilError(t, err)
+		assert.Assert(t, d.HasIdle(address, 0) && !d.HasIdle(address, time.Minute))
+		(<-served).Close()
+		c, err := d.Get(context.Background(), address)
+		assert.NilError(t, err)
+		replaces = c.Replaces()
+		c.Close()
+	}
+	assert.Assert(t, replaces)
+	c, err := d.Get(context.Background(), address)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Assert(t, !c.Replaces())
+}
+
 // Guards against a request on a connection that has been idle for longer than the
 // endpoint keeps it, because the VM of the router was suspended: the endpoint's FIN
 // may not have arrived, and a request that may run at most once would be lost.
--- a/dialer/idle.go
+++ b/dialer/idle.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// Replaces reports whether the connection was opened because the endpoint had closed an idle
+// one earlier than it says, or sent something on it: it may have started again.
+func (c *Conn) Replaces() bool { return c.replaces }
+
 // HasIdle reports whether an idle connection to the address was opened at least the given
 // time ago and can be reused. The endpoint may have closed it.
 func (d *Dialer) HasIdle(address string, age time.Duration) bool {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -284,8 +284,7 @@
 // is no holder, why that is so, and the end of the cold period, zero if it is not known. The
 // lock is held.
 func (p *Pacer) next(c Content, e subscriber.Endpoint) (next time.Time, why limit, end time.Time) {
-	service := p.services[e.Service]
-	s := p.state(c.Now, e.ID)
+	service, s := p.services[e.Service], p.state(c.Now, e.ID)
 	until, known := s.coldUntil(c.Now, service.start)
 	switch {
 	case c.Now.Before(until):
--- a/relayer/cold.go
+++ b/relayer/cold.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"maps"
 	"math"
 	"net/http"
@@ -49,6 +50,15 @@
 	return r.Pacer.NeedsTurn(r.content(), target, r.connAge(conn, target))
 }
 
+// dial returns a connection to the target.
+func (r *Relayer) dial(ctx context.Context, target subscriber.Endpoint) (*dialer.Conn, error) {
+	conn, err := r.Dialer.Get(ctx, target.Address)
+	if err == nil && conn.Replaces() && !conn.Reused() {
+		r.recordUnreachable(target, nil)
+	}
+	return conn, err
+}
+
 // recordUnreachable records that the endpoint did not respond or broke a connection.
 func (r *Relayer) recordUnreachable(target subscriber.Endpoint, cause error) {
 	r.Pacer.RecordUnreachable(r.Clock.Now(), target.ID)
--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -57,7 +57,7 @@
 	if len(r.Gatekeeper.Open([]subscriber.Endpoint{target})) == 0 {
 		return 0, errors.Errorf("endpoint %s takes no requests", target.ID)
 	}
-	conn, err := r.Dialer.Get(ctx, target.Address)
+	conn, err := r.dial(ctx, target)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -68,7 +68,7 @@
 	if refusal != nil || next.suspended {
 		return nil
 	}
-	conn, err := r.Dialer.Get(ctx, next.target.Address)
+	conn, err := r.dial(ctx, next.target)
 	if err != nil {
 		if ctx.Err() == nil {
 			j.suspendEndpoint(next.target, "no connection", err)
@@ -94,7 +94,7 @@
 		j.conn = nil
 		return conn, nil
 	}
-	return j.relayer.Dialer.Get(ctx, target.Address)
+	return j.relayer.dial(ctx, target)
 }
 
 // markTakenOver marks the failure of an attempt whose successor is already reserved.
