--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -25,7 +25,7 @@
 
 // recordReading implements subscriber.Subscriber.OnRecord.
 func (g *Gateway) recordReading(r subscriber.Reading) {
-	if coldFor, isNew := g.pacer.RecordReading(r); isNew {
+	if coldFor, isNew := g.rationer.RecordReading(r); isNew {
 		g.Logger.Info("endpoint is cold", zap.String("endpoint", r.ID), zap.Duration("for", coldFor),
 			zap.Duration("recorded", r.ColdFor), zap.Int64("incarnation", r.Incarnation))
 	}
@@ -33,28 +33,28 @@
 
 // coldCount returns the number of endpoints that are cold or may be.
 func (g *Gateway) coldCount() int64 {
-	return int64(g.pacer.ColdCount(g.clock.Now(), g.directory.State()))
+	return int64(g.rationer.ColdCount(g.clock.Now(), g.directory.State()))
 }
 
 // spreadGone implements relayer.Relayer.OnGone. The other routers hear that the endpoint
 // may be another incarnation, before its record says so. The rumour of an incarnation is the
 // same at all routers, so that it is spread once.
 func (g *Gateway) spreadGone(e subscriber.Endpoint) {
-	if e.Incarnation != 0 && g.pacer.IsLimiting(e.Service) {
+	if e.Incarnation != 0 && g.rationer.IsLimiting(e.Service) {
 		g.gossiper.SpreadRumour(gonePrefix+e.ID, strconv.FormatInt(e.Incarnation, 10), e.Incarnation, goneLifetime)
 	}
 }
 
 // followMembers passes the routers, and the endpoints that other routers found gone, to the
-// pacer until the context is done.
+// rationer until the context is done.
 func (g *Gateway) followMembers(ctx context.Context) error {
 	changes := g.gossiper.Subscribe()
 	for {
 		now, view := g.clock.Now(), g.gossiper.View()
 		alone := !slices.ContainsFunc(g.Settings.Seeds, func(seed string) bool { return seed != g.self.Address })
-		g.pacer.SetMembers(now, view.Members(), alone || g.gossiper.Joined(), len(g.Settings.Seeds))
+		g.rationer.SetMembers(now, view.Members(), alone || g.gossiper.Joined(), len(g.Settings.Seeds))
 		for _, r := range view.Rumours(gonePrefix, now) {
-			g.pacer.RecordGone(now, strings.TrimPrefix(r.Key, gonePrefix), r.Version)
+			g.rationer.RecordGone(now, strings.TrimPrefix(r.Key, gonePrefix), r.Version)
 		}
 		select {
 		case <-ctx.Done():
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,9 +34,9 @@
 	"github.com/bergamotdale/bergamotdale/loader"
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/meter"
-	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/rationer"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
 	"github.com/bergamotdale/bergamotdale/replicator"
@@ -90,7 +90,7 @@
 	tracker     *tracker.Tracker
 	dialer      *dialer.Dialer
 	gatekeeper  *gatekeeper.Gatekeeper
-	pacer       *pacer.Pacer
+	rationer    *rationer.Rationer
 	gossiper    *gossiper.Gossiper
 	quarantine  *isolator.Isolator
 	pinner      *pinner.Pinner
@@ -176,7 +176,7 @@
 	g.tracker = tracker.New()
 	g.dialer = &dialer.Dialer{MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
-	g.pacer = pacer.New(g.self.ID, g.clock.Now())
+	g.rationer = rationer.New(g.self.ID, g.clock.Now())
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
@@ -196,7 +196,7 @@
 		OnChange: func(s *subscriber.State) {
 			g.tracker.UpdateEndpoints(g.clock.Now(), s)
 			g.gatekeeper.UpdateEndpoints(s)
-			g.pacer.UpdateEndpoints(g.clock.Now(), s)
+			g.rationer.UpdateEndpoints(g.clock.Now(), s)
 			g.chronicler.Observe(s)
 			g.pinner.Observe(s)
 			if s.Table != nil {
@@ -245,7 +245,7 @@
 		Locator:        locator.New(),
 		Dialer:         g.dialer,
 		Gatekeeper:     g.gatekeeper,
-		Pacer:          g.pacer,
+		Rationer:       g.rationer,
 		OnGone:         g.spreadGone,
 		Quarantine:     g.quarantine,
 		Pins:           g.pinner,
@@ -290,7 +290,7 @@
 			func() int64 { return int64(g.gatekeeper.ClosedCount()) }},
 		{"bergamotdale.endpoints.cold", "endpoints that are cold, or may be as they did not respond", g.coldCount},
 		{"bergamotdale.cold.turns.lost", "requests that another one of this router kept from a cold endpoint directly before the write",
-			g.pacer.LostTurns},
+			g.rationer.LostTurns},
 		{"bergamotdale.domains.evacuated", "failure domains that the operators have evacuated",
 			func() int64 { return int64(g.directory.State().EvacuatedCount()) }},
 		{"bergamotdale.store.era", "era of the store that the state is from", g.directory.Era},
@@ -318,16 +318,14 @@
 		MaxEvent:     int(s.Responses.MaxEvent),
 		MaxResponse:  int64(s.Responses.MaxBody),
 	})
-	g.pacer.SetLimits(pacer.Limits{
-		Excess: s.Limits.ColdExcess, Slack: s.Limits.ColdSlack,
-		TrustedAge: replicator.Withdrawal(s.Limits.Withdrawal, s.Limits.Evacuation),
-	})
+	readyAge := max(minReadyAge, s.Limits.Withdrawal)
+	g.rationer.SetLimits(rationer.Limits{Excess: s.Limits.ColdExcess, Slack: s.Limits.ColdSlack, TrustedAge: readyAge})
 	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Evacuation, s.Limits.Contact); err != nil {
 		g.Logger.Error("failed to apply the promises, keeping those in force", zap.Error(err))
 	} else {
 		g.source.SetBounds(bounds)
 		g.replica.SetBounds(bounds)
-		g.readyAge.Store(int64(max(minReadyAge, s.Limits.Withdrawal)))
+		g.readyAge.Store(int64(readyAge))
 	}
 	if s.Listen != g.Settings.Listen || s.ID != g.Settings.ID || s.Store != g.Settings.Store {
 		g.Logger.Warn("changed id, listen addresses or store take effect only after a restart", zap.String("store", s.Store))
--- a/pacer/cold.go
+++ b/rationer/cold.go
@@ -1,4 +1,4 @@
-package pacer
+package rationer
 
 import (
 	"time"
--- a/pacer/pacer.go
+++ b/rationer/rationer.go
@@ -1,4 +1,4 @@
-// Package pacer decides how often this router may send requests to an endpoint that is cold:
+// Package rationer decides how often this router may send requests to an endpoint that is cold:
 // one that has just started, tolerates only few requests a second, and crashes if it gets many
 // more. All routers together stay below a bound in every second, without a message before a
 // request, and also while they cannot reach the store or each other.
@@ -11,12 +11,13 @@
 // as a new incarnation. One that did not respond may have started again, so it counts as cold
 // until a record that was written since then says otherwise. A router whose content of the
 // store is old does not know of starts: to it every endpoint may be cold, unless the
-// connection for the request is older than the content.
+// connection for the request is older than the content. What is left of the bound where a
+// router does not know of a start is in docs/design/cold.md.
 //
 // The load pattern: 35 endpoints start within seconds, all of 35 to 360 routers see them
 // without load and would send them the requests of a burst, while routers start, leave, or
 // are partitioned, and records are 1.2 s late.
-package pacer
+package rationer
 
 import (
 	"sync"
@@ -41,7 +42,8 @@
 	// Excess and Slack bound what a cold endpoint gets from all routers in any second, to
 	// Excess times the rate that it tolerates plus Slack. Zero for both means no bound.
 	Excess, Slack float64
-	// TrustedAge is the age of the content up to which it tells which endpoints are cold.
+	// TrustedAge is the age of the content up to which it tells which endpoints are cold. A
+	// router that is connected does not reach it.
 	TrustedAge time.Duration
 }
 
@@ -58,8 +60,8 @@
 	start time.Duration
 }
 
-// Pacer decides for one router. Its methods may be called concurrently.
-type Pacer struct {
+// Rationer decides for one router. Its methods may be called concurrently.
+type Rationer struct {
 	self string
 
 	mu     sync.Mutex
@@ -72,58 +74,58 @@
 	lostTurns int64
 }
 
-// New returns a pacer for the router self, which starts now.
-func New(self string, now time.Time) *Pacer {
-	return &Pacer{self: self, services: map[string]service{}, endpoints: map[string]*endpointState{}, roster: newRoster(self, now)}
+// New returns a rationer for the router self, which starts now.
+func New(self string, now time.Time) *Rationer {
+	return &Rationer{self: self, services: map[string]service{}, endpoints: map[string]*endpointState{}, roster: newRoster(self, now)}
 }
 
 // SetLimits changes the limits.
-func (p *Pacer) SetLimits(l Limits) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limits = l
+func (r *Rationer) SetLimits(l Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = l
 }
 
 // SetMembers sets all known routers, also those that left or do not respond. joined reports
 // whether this router has read the list of another one, or knows that there is none. expected
 // is the number of routers that the settings name.
-func (p *Pacer) SetMembers(now time.Time, members []bergamotdale.Member, joined bool, expected int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.joined, p.roster.expected = joined, expected
-	p.roster.update(now, p.self, members)
+func (r *Rationer) SetMembers(now time.Time, members []bergamotdale.Member, joined bool, expected int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.roster.joined, r.roster.expected = joined, expected
+	r.roster.update(now, r.self, members)
 }
 
 // UpdateEndpoints applies the configuration and forgets endpoints that have been gone for
 // long.
-func (p *Pacer) UpdateEndpoints(now time.Time, state *subscriber.State) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (r *Rationer) UpdateEndpoints(now time.Time, state *subscriber.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, e := range state.AllEndpoints() {
-		p.state(now, e.ID)
+		r.state(now, e.ID)
 		if state.Table == nil {
 			continue
 		}
 		s := state.Table.Service(e.Service)
 		if s == nil || s.ColdRate <= 0 {
-			delete(p.services, e.Service)
+			delete(r.services, e.Service)
 			continue
 		}
-		p.services[e.Service] = service{rate: s.ColdRate, start: s.ColdStart}
+		r.services[e.Service] = service{rate: s.ColdRate, start: s.ColdStart}
 	}
-	for id, s := range p.endpoints {
+	for id, s := range r.endpoints {
 		if now.Sub(s.seenAt) > retention {
-			delete(p.endpoints, id)
+			delete(r.endpoints, id)
 		}
 	}
 }
 
 // state returns the state of an endpoint and creates it if there is none. The lock is held.
-func (p *Pacer) state(now time.Time, id string) *endpointState {
-	s := p.endpoints[id]
+func (r *Rationer) state(now time.Time, id string) *endpointState {
+	s := r.endpoints[id]
 	if s == nil {
 		s = &endpointState{hash: hasher.Hash(id)}
-		p.endpoints[id] = s
+		r.endpoints[id] = s
 	}
 	s.seenAt = now
 	return s
@@ -131,31 +133,32 @@
 
 // RecordReading applies the record of an endpoint that was read from the store. It returns
 // for how long the endpoint is cold, and whether it was not known to be until now.
-func (p *Pacer) RecordReading(r subscriber.Reading) (coldFor time.Duration, isNew bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s, start := p.state(r.ReadAt, r.ID), p.services[r.Service].start
-	before, _ := s.coldUntil(r.ReadAt, start)
-	s.read(r)
-	until, _ := s.coldUntil(r.ReadAt, start)
-	return until.Sub(r.ReadAt), p.isLimiting(r.Service) && !r.ReadAt.Before(before) && r.ReadAt.Before(until)
+func (r *Rationer) RecordReading(reading subscriber.Reading) (coldFor time.Duration, isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := reading.ReadAt
+	s, start := r.state(at, reading.ID), r.services[reading.Service].start
+	before, _ := s.coldUntil(at, start)
+	s.read(reading)
+	until, _ := s.coldUntil(at, start)
+	return until.Sub(at), r.isLimiting(reading.Service) && !at.Before(before) && at.Before(until)
 }
 
 // RecordUnreachable records that the endpoint did not respond or broke a connection.
-func (p *Pacer) RecordUnreachable(now time.Time, id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.state(now, id)
+func (r *Rationer) RecordUnreachable(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(now, id)
 	s.unreachableAt, s.returnedAt = now, time.Time{}
 }
 
 // RecordGone records that another router found the incarnation of the endpoint gone: its
 // port refused a connection. The endpoint may be back as another one before its record says
 // so. Further reports of the same incarnation are ignored.
-func (p *Pacer) RecordGone(now time.Time, id string, incarnation int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.endpoints[id]
+func (r *Rationer) RecordGone(now time.Time, id string, incarnation int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.endpoints[id]
 	if s == nil || s.reading.Incarnation != incarnation || s.goneIncarnation == incarnation {
 		return
 	}
@@ -166,10 +169,10 @@
 // RecordResponse records that the endpoint has responded to a request that was sent at the
 // time, and for how much longer it says that it is cold, zero for nothing. It reports whether
 // the endpoint was not known to be cold.
-func (p *Pacer) RecordResponse(now time.Time, id string, sentAt time.Time, coldFor time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.endpoints[id]
+func (r *Rationer) RecordResponse(now time.Time, id string, sentAt time.Time, coldFor time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.endpoints[id]
 	if s == nil {
 		return false
 	}
@@ -190,16 +193,16 @@
 // Open returns the endpoints, all of one service, to which a request may be sent now, in the
 // same order. isProven reports whether a connection to the endpoint is open that is older
 // than the given time.
-func (p *Pacer) Open(c Content, endpoints []subscriber.Endpoint, isProven func(subscriber.Endpoint, time.Duration) bool) []subscriber.Endpoint {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(endpoints) == 0 || !p.isLimiting(endpoints[0].Service) {
+func (r *Rationer) Open(c Content, endpoints []subscriber.Endpoint, isProven func(subscriber.Endpoint, time.Duration) bool) []subscriber.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(endpoints) == 0 || !r.isLimiting(endpoints[0].Service) {
 		return endpoints
 	}
 	open := make([]subscriber.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		next, limited, _ := p.next(c, e)
-		if limited == limitUnproven && isProven(e, p.proofAge(c)) {
+		next, limited, _ := r.next(c, e)
+		if limited == limitUnproven && isProven(e, r.proofAge(c)) {
 			limited = limitNone
 		}
 		if limited == limitNone || !next.IsZero() && !c.Now.Before(next) {
@@ -211,45 +214,45 @@
 
 // Take reports whether a request may be written to the endpoint now, and takes the turn of
 // this router if one is needed. connAge is the time since the connection was opened.
-func (p *Pacer) Take(c Content, e subscriber.Endpoint, connAge time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isLimiting(e.Service) {
+func (r *Rationer) Take(c Content, e subscriber.Endpoint, connAge time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isLimiting(e.Service) {
 		return true
 	}
-	next, limited, _ := p.next(c, e)
-	if limited == limitNone || limited == limitUnproven && connAge >= p.proofAge(c) {
+	next, limited, _ := r.next(c, e)
+	if limited == limitNone || limited == limitUnproven && connAge >= r.proofAge(c) {
 		return true
 	}
 	if next.IsZero() || c.Now.Before(next) {
-		p.lostTurns++
+		r.lostTurns++
 		return false
 	}
-	p.endpoints[e.ID].sentAt = c.Now
+	r.endpoints[e.ID].sentAt = c.Now
 	return true
 }
 
 // NeedsTurn reports whether a request to the endpoint has to wait for the turn of this
 // router. connAge is the time since the connection was opened.
-func (p *Pacer) NeedsTurn(c Content, e subscriber.Endpoint, connAge time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isLimiting(e.Service) {
+func (r *Rationer) NeedsTurn(c Content, e subscriber.Endpoint, connAge time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isLimiting(e.Service) {
 		return false
 	}
-	_, limited, _ := p.next(c, e)
-	return limited == limitCold || limited == limitUnproven && connAge < p.proofAge(c)
+	_, limited, _ := r.next(c, e)
+	return limited == limitCold || limited == limitUnproven && connAge < r.proofAge(c)
 }
 
 // NextAt returns the time from which this router may send a request to the endpoint, and
 // false if that is not known.
-func (p *Pacer) NextAt(c Content, e subscriber.Endpoint) (time.Time, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isLimiting(e.Service) {
+func (r *Rationer) NextAt(c Content, e subscriber.Endpoint) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isLimiting(e.Service) {
 		return c.Now, true
 	}
-	next, limited, end := p.next(c, e)
+	next, limited, end := r.next(c, e)
 	switch {
 	case limited == limitNone:
 		return c.Now, true
@@ -261,12 +264,12 @@
 
 // proofAge is the age of a connection from which the process at its other end is the one
 // that the content names. The lock is held.
-func (p *Pacer) proofAge(c Content) time.Duration { return c.Age + RecordDelay }
+func (r *Rationer) proofAge(c Content) time.Duration { return c.Age + RecordDelay }
 
 // isLimiting reports whether there is a bound for cold endpoints of the service. The lock is
 // held.
-func (p *Pacer) isLimiting(service string) bool {
-	return (p.limits.Excess > 0 || p.limits.Slack > 0) && p.services[service].rate > 0
+func (r *Rationer) isLimiting(service string) bool {
+	return (r.limits.Excess > 0 || r.limits.Slack > 0) && r.services[service].rate > 0
 }
 
 // limit is why requests to an endpoint are limited.
@@ -283,8 +286,8 @@
 // next returns the time from which this router may send a request to the endpoint, zero if it
 // is no holder, why that is so, and the end of the cold period, zero if it is not known. The
 // lock is held.
-func (p *Pacer) next(c Content, e subscriber.Endpoint) (next time.Time, why limit, end time.Time) {
-	service, s := p.services[e.Service], p.state(c.Now, e.ID)
+func (r *Rationer) next(c Content, e subscriber.Endpoint) (next time.Time, why limit, end time.Time) {
+	service, s := r.services[e.Service], r.state(c.Now, e.ID)
 	until, known := s.coldUntil(c.Now, service.start)
 	switch {
 	case c.Now.Before(until):
@@ -292,53 +295,53 @@
 		if known {
 			end = until
 		}
-	case c.Age > p.limits.TrustedAge && service.start > 0:
+	case c.Age > r.limits.TrustedAge && service.start > 0:
 		why = limitUnproven
 	default:
 		return time.Time{}, limitNone, time.Time{}
 	}
-	share := shareOf(service.rate, service.rate*p.limits.Excess+p.limits.Slack, p.roster.size())
-	if !p.roster.settled(c.Now) || !p.holds(s, share.holders) {
+	share := shareOf(service.rate, service.rate*r.limits.Excess+r.limits.Slack, r.roster.size())
+	if !r.roster.settled(c.Now) || !r.holds(s, share.holders) {
 		return time.Time{}, why, end
 	}
 	return s.sentAt.Add(share.pace), why, end
 }
 
 // holds reports whether this router is a holder of the endpoint. The lock is held.
-func (p *Pacer) holds(s *endpointState, holders int) bool {
-	if s.holdsOf != holders || s.holdsVersion != p.roster.version {
-		s.holdsOf, s.holdsVersion = holders, p.roster.version
-		s.holds = p.roster.holds(s.hash, holders)
+func (r *Rationer) holds(s *endpointState, holders int) bool {
+	if s.holdsOf != holders || s.holdsVersion != r.roster.version {
+		s.holdsOf, s.holdsVersion = holders, r.roster.version
+		s.holds = r.roster.holds(s.hash, holders)
 	}
 	return s.holds
 }
 
 // IsLimiting reports whether there is a bound for cold endpoints of the service.
-func (p *Pacer) IsLimiting(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.isLimiting(service)
+func (r *Rationer) IsLimiting(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isLimiting(service)
 }
 
 // LostTurns returns how many requests were refused directly before the write.
-func (p *Pacer) LostTurns() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lostTurns
+func (r *Rationer) LostTurns() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostTurns
 }
 
 // ColdCount returns the number of endpoints of the state that are known to be cold, or may
 // be since they did not respond.
-func (p *Pacer) ColdCount(now time.Time, state *subscriber.State) int {
+func (r *Rationer) ColdCount(now time.Time, state *subscriber.State) int {
 	endpoints, cold := state.AllEndpoints(), 0
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, e := range endpoints {
-		s := p.endpoints[e.ID]
-		if s == nil || !p.isLimiting(e.Service) {
+		s := r.endpoints[e.ID]
+		if s == nil || !r.isLimiting(e.Service) {
 			continue
 		}
-		if until, _ := s.coldUntil(now, p.services[e.Service].start); now.Before(until) {
+		if until, _ := s.coldUntil(now, r.services[e.Service].start); now.Before(until) {
 			cold++
 		}
 	}
--- a/relayer/cold.go
+++ b/relayer/cold.go
@@ -12,7 +12,7 @@
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/dialer"
-	"github.com/bergamotdale/bergamotdale/pacer"
+	"github.com/bergamotdale/bergamotdale/rationer"
 	"github.com/bergamotdale/bergamotdale/subscriber"
 )
 
@@ -24,14 +24,14 @@
 )
 
 // content returns how the content of the store stands.
-func (r *Relayer) content() pacer.Content {
+func (r *Relayer) content() rationer.Content {
 	age, _ := r.Directory.Age()
-	return pacer.Content{Now: r.Clock.Now(), Age: age}
+	return rationer.Content{Now: r.Clock.Now(), Age: age}
 }
 
 // open returns the endpoints that take requests from this router, in the same order.
 func (r *Relayer) open(endpoints []subscriber.Endpoint) []subscriber.Endpoint {
-	return r.Pacer.Open(r.content(), r.Gatekeeper.Open(endpoints), func(e subscriber.Endpoint, age time.Duration) bool {
+	return r.Rationer.Open(r.content(), r.Gatekeeper.Open(endpoints), func(e subscriber.Endpoint, age time.Duration) bool {
 		return r.Dialer.HasIdle(e.Address, age)
 	})
 }
@@ -47,7 +47,7 @@
 
 // needsTurn reports whether a request over the connection has to wait for a turn.
 func (r *Relayer) needsTurn(conn *dialer.Conn, target subscriber.Endpoint) bool {
-	return r.Pacer.NeedsTurn(r.content(), target, r.connAge(conn, target))
+	return r.Rationer.NeedsTurn(r.content(), target, r.connAge(conn, target))
 }
 
 // dial returns a connection to the target.
@@ -61,7 +61,7 @@
 
 // recordUnreachable records that the endpoint did not respond or broke a connection.
 func (r *Relayer) recordUnreachable(target subscriber.Endpoint, cause error) {
-	r.Pacer.RecordUnreachable(r.Clock.Now(), target.ID)
+	r.Rationer.RecordUnreachable(r.Clock.Now(), target.ID)
 	if r.OnGone != nil && errors.Is(cause, syscall.ECONNREFUSED) {
 		r.OnGone(target)
 	}
@@ -71,7 +71,7 @@
 // whether its endpoint is cold. Status 421 comes from another endpoint.
 func (r *Relayer) observeCold(target subscriber.Endpoint, status int, sentAt time.Time, info bergamotdale.ResponseInfo) {
 	if status != http.StatusMisdirectedRequest {
-		r.Pacer.RecordResponse(r.Clock.Now(), target.ID, sentAt, info.ColdFor)
+		r.Rationer.RecordResponse(r.Clock.Now(), target.ID, sentAt, info.ColdFor)
 	}
 }
 
@@ -81,7 +81,7 @@
 	r, excluded := j.relayer, tried
 	content := r.content()
 	for _, e := range r.Directory.State().Endpoints(j.service) {
-		if !excluded[e.ID] && r.Pacer.NeedsTurn(content, e, anyAge) {
+		if !excluded[e.ID] && r.Rationer.NeedsTurn(content, e, anyAge) {
 			if len(excluded) == len(tried) {
 				excluded = maps.Clone(tried)
 			}
@@ -101,10 +101,10 @@
 		if !e.Usable(now) {
 			continue
 		}
-		if !r.Pacer.NeedsTurn(content, e, anyAge) {
+		if !r.Rationer.NeedsTurn(content, e, anyAge) {
 			return time.Time{}, false
 		}
-		if at, known := r.Pacer.NextAt(content, e); known && (next.IsZero() || at.Before(next)) {
+		if at, known := r.Rationer.NextAt(content, e); known && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -33,7 +33,7 @@
 	if r.isEvacuated(target) {
 		return errors.Annotatef(errEvacuated, "endpoint %s", target.ID)
 	}
-	if !r.Pacer.Take(r.content(), target, r.connAge(conn, target)) {
+	if !r.Rationer.Take(r.content(), target, r.connAge(conn, target)) {
 		return errors.Annotatef(errCold, "endpoint %s", target.ID)
 	}
 	return nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,8 +23,8 @@
 	"github.com/bergamotdale/bergamotdale/dialer"
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
-	"github.com/bergamotdale/bergamotdale/pacer"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/rationer"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
 	"github.com/bergamotdale/bergamotdale/selfmonitor"
@@ -151,7 +151,7 @@
 	Locator    *locator.Locator
 	Dialer     *dialer.Dialer
 	Gatekeeper *gatekeeper.Gatekeeper
-	Pacer      *pacer.Pacer
+	Rationer   *rationer.Rationer
 	// OnGone is called for an endpoint whose port refuses connections; nil for none.
 	OnGone     func(subscriber.Endpoint)
 	Quarantine Quarantine
--- a/replicator/bounds.go
+++ b/replicator/bounds.go
@@ -54,25 +54,14 @@
 	askAge    time.Duration
 }
 
-// Withdrawal returns the time within which every change of the content must have reached
-// all routers: the promise of withdrawal, or that of evacuation if it is smaller. Zero for
-// evacuation means that there is none.
-func Withdrawal(withdrawal, evacuation time.Duration) time.Duration {
-	if evacuation > 0 {
-		return min(withdrawal, evacuation)
-	}
-	return withdrawal
-}
-
 // NewBounds returns the bounds for the promises. The smaller one of withdrawal and
 // evacuation limits the age of the content; zero for evacuation means that there is none. It
 // returns an error if no router that follows others could keep them.
 func NewBounds(withdrawal, evacuation, contact time.Duration) (Bounds, error) {
 	promise := "withdrawal"
 	if evacuation > 0 && evacuation < withdrawal {
-		promise = "evacuation"
+		promise, withdrawal = "evacuation", evacuation
 	}
-	withdrawal = Withdrawal(withdrawal, evacuation)
 	b := Bounds{withdrawal: withdrawal, contact: contact, askAge: withdrawal - sendTime - askTime}
 	// A watch confirms its beginning, so content grows as old as two watches.
 	b.watchWait = min(maxWatchWait, (b.askAge-storeLag-turnTime)/4)
