relayer, dialer: a connection without a turn is kept

Cause: the question for an incarnation takes a turn at a cold endpoint, and the connection was closed when the stream then had none, so that the next attempt asked again and no stream that is taken up went on there. A connection that proves which process the endpoint is was closed as well.

Change: a connection over which nothing was written because the turn was missing goes back to the idle ones, for no longer than before.

Result: the new test fails before (503 at the second attempt) and passes after. go test -race ./dialer ./relayer passes, ./platform but for TestEndpointRecord, which fails since.

--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -305,7 +305,7 @@
 		c.Close()
 		return nil, errors.Trace(err)
 	}
-	c.reused = true
+	c.reused, c.expires = true, d.elapsed()+idleTimeout-idleMargin
 	return document, errors.Trace(c.SetDeadline(time.Time{}))
 }
 
--- a/dialer/idle.go
+++ b/dialer/idle.go
@@ -9,6 +9,16 @@
 // one earlier than it says, or sent something on it: it may have started again.
 func (c *Conn) Replaces() bool { return c.replaces }
 
+// Return puts back a connection over which nothing was written since Get, or only by Fetch. It
+// stays idle no longer than before, as its endpoint has seen nothing meanwhile.
+func (d *Dialer) Return(c *Conn) {
+	if remaining := c.expires - d.elapsed(); c.reused && remaining > 0 {
+		d.putIdle(c, remaining+idleMargin)
+		return
+	}
+	c.Close()
+}
+
 // HasIdle reports whether an idle connection to the address was opened at least the given
 // time ago and can be reused. The endpoint may have closed it.
 func (d *Dialer) HasIdle(address string, age time.Duration) bool {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -95,7 +95,7 @@
 	j.tried[target.ID] = true
 	written, fail := j.enter(ctx, conn, target)
 	if fail != nil {
-		conn.Close()
+		r.returnConn(conn, fail)
 		return fail
 	}
 	j.sends++
--- a/relayer/cold.go
+++ b/relayer/cold.go
@@ -59,6 +59,16 @@
 	return conn, err
 }
 
+// returnConn ends the use of a connection over which the request was not written. It is kept
+// if only the turn was missing: it may prove which process the endpoint is.
+func (r *Relayer) returnConn(conn *dialer.Conn, fail *failure) {
+	if errors.Is(fail.refusal.Cause, errCold) {
+		r.Dialer.Return(conn)
+		return
+	}
+	conn.Close()
+}
+
 // recordUnreachable records that the endpoint did not respond or broke a connection.
 func (r *Relayer) recordUnreachable(target subscriber.Endpoint, cause error) {
 	r.Rationer.RecordUnreachable(r.Clock.Now(), target.ID)
--- a/relayer/cold_test.go
+++ b/relayer/cold_test.go
@@ -122,6 +122,35 @@
 	assert.Equal(t, e.requestCount(), 0)
 }
 
+// Guards against a stream that never goes on at a cold endpoint, because the question for its
+// incarnation takes the turn each time.
+func TestConnectionIsKeptForTheNextTurn(t *testing.T) {
+	var asked, resumed atomic.Int64
+	e := startEndpoint(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		if r.RequestURI == "/incarnation" {
+			asked.Add(1)
+			return writeResponse(conn, r, 200, "7")
+		}
+		resumed.Add(1)
+		startStream(conn, r)
+		writeEvents(conn, r, "v1")
+		writeChunk(conn, "")
+		return true
+	})
+	e.version, e.incarnation = "v1", 7
+	r := newPaced(t, resumableStreamRoute, e)
+	r.Pins = &fixedPins{pin: pinner.Pin{Service: "s", Version: "v1"}, queries: make(chan pinner.Query, 8), pinned: make(chan pinner.Pin, 8)}
+	server := serve(t, r)
+	r.Rationer.RecordResponse(time.Now(), "e0", time.Now(), time.Minute)
+	assert.Equal(t, takeUp(t, server, "r1").status, http.StatusServiceUnavailable)
+	assert.Equal(t, asked.Load(), int64(1))
+	<-time.After(200 * time.Millisecond)
+	assert.Equal(t, takeUp(t, server, "r2").status, http.StatusOK)
+	assert.Equal(t, asked.Load(), int64(1))
+	assert.Equal(t, resumed.Load(), int64(1))
+	assert.Equal(t, e.accepted.Load(), int64(1))
+}
+
 // Guards against a request that leaves a silent endpoint for a cold one, which may have no
 // turn for it when it is written.
 func TestSilentEndpointKeepsItsRequestBesideAColdOne(t *testing.T) {
