rationer, relayer: a broken connection counts as a start once a minute

Change: a broken exchange or a replaced idle connection, although the port is open, counts once a minute for an incarnation. Failed connections and silence count as before.

--- a/rationer/cold.go
+++ b/rationer/cold.go
@@ -11,6 +11,11 @@
 // their record every 1.2 s; one that does not write must get requests again.
 const unreachableRetention = time.Minute
 
+// brokenPause is the time for which further broken connections of an incarnation are no sign
+// of a start. With it, an endpoint that breaks connections is limited for about 2 s a minute,
+// until its next record; without, for as long as it breaks them.
+const brokenPause = time.Minute
+
 // endpointState is what is known of an endpoint that concerns whether it is cold. All times
 // are those of this router's monotonic clock.
 type endpointState struct {
@@ -27,6 +32,8 @@
 	// unreachableAt is when the endpoint last did not respond, zero if it has been back for
 	// long enough. returnedAt is when it first responded again.
 	unreachableAt, returnedAt time.Time
+	// brokenIgnoredUntil is the time until which broken connections do not count.
+	brokenIgnoredUntil time.Time
 	// goneIncarnation is the last one of which another router reported that it is gone.
 	goneIncarnation int64
 
@@ -50,6 +57,9 @@
 		return
 	}
 	s.known, s.reading = true, r
+	if last.Incarnation != r.Incarnation {
+		s.brokenIgnoredUntil = time.Time{}
+	}
 	var until time.Time
 	if r.ColdFor > 0 {
 		until = r.ReadAt.Add(r.ColdFor)
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -144,7 +144,7 @@
 	return until.Sub(at), r.isLimiting(reading.Service) && !at.Before(before) && at.Before(until)
 }
 
-// RecordUnreachable records that the endpoint did not respond or broke a connection.
+// RecordUnreachable records that the endpoint did not respond.
 func (r *Rationer) RecordUnreachable(now time.Time, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,6 +152,18 @@
 	s.unreachableAt, s.returnedAt = now, time.Time{}
 }
 
+// RecordBroken records that the endpoint broke a connection and accepts others: it may have
+// started again at once. Some endpoints break connections without that, so it counts once in
+// brokenPause for an incarnation.
+func (r *Rationer) RecordBroken(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.state(now, id); !now.Before(s.brokenIgnoredUntil) {
+		s.brokenIgnoredUntil = now.Add(brokenPause)
+		s.unreachableAt, s.returnedAt = now, time.Time{}
+	}
+}
+
 // RecordGone records that another router found the incarnation of the endpoint gone: its
 // port refused a connection. The endpoint may be back as another one before its record says
 // so. Further reports of the same incarnation are ignored.
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -84,6 +84,24 @@
 			r.rationer.RecordResponse(at(5000), "e", at(4900), 0)
 			r.rationer.RecordResponse(at(6000), "e", at(5900), 0)
 		}, 8000},
+		"broken connections count once a minute": {func(r onlyRouter) {
+			r.read(200, 100, 1, 9, 0, false)
+			r.rationer.RecordBroken(at(300), "e")
+			r.read(400, 350, 1, 10, 0, false)
+			r.rationer.RecordBroken(at(500), "e")
+			r.read(1000, 900, 1, 11, 7000, false)
+		}, 8000},
+		"broken connection": {func(r onlyRouter) {
+			r.read(200, 100, 1, 9, 0, false)
+			r.rationer.RecordBroken(at(300), "e")
+			r.rationer.RecordResponse(at(500), "e", at(400), 0)
+		}, 3500},
+		"broken connection of the next incarnation": {func(r onlyRouter) {
+			r.rationer.RecordBroken(at(300), "e")
+			r.read(1500, 1400, 2, 9, 100, false)
+			r.rationer.RecordBroken(at(1700), "e")
+			r.rationer.RecordResponse(at(2000), "e", at(1900), 0)
+		}, 5000},
 		"record from before the return": {func(r onlyRouter) {
 			r.rationer.RecordResponse(at(5000), "e", at(4900), 0)
 			r.read(5500, 4000, 1, 9, 0, false)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -394,7 +394,7 @@
 		j.suspendEndpoint(target, "silent", cause)
 		return
 	}
-	r.recordUnreachable(target, cause)
+	r.Rationer.RecordBroken(r.Clock.Now(), target.ID)
 	fingerprint, suspects := j.fingerprint, j.suspectParts()
 	go func() {
 		r.Dialer.CloseIdle(target.Address)
--- a/relayer/cold.go
+++ b/relayer/cold.go
@@ -54,7 +54,7 @@
 func (r *Relayer) dial(ctx context.Context, target subscriber.Endpoint) (*dialer.Conn, error) {
 	conn, err := r.Dialer.Get(ctx, target.Address)
 	if err == nil && conn.Replaces() && !conn.Reused() {
-		r.recordUnreachable(target, nil)
+		r.Rationer.RecordBroken(r.Clock.Now(), target.ID)
 	}
 	return conn, err
 }
@@ -69,7 +69,7 @@
 	conn.Close()
 }
 
-// recordUnreachable records that the endpoint did not respond or broke a connection.
+// recordUnreachable records that the endpoint did not respond.
 func (r *Relayer) recordUnreachable(target subscriber.Endpoint, cause error) {
 	r.Rationer.RecordUnreachable(r.Clock.Now(), target.ID)
 	if r.OnGone != nil && errors.Is(cause, syscall.ECONNREFUSED) {
