--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/bergamotdale/bergamotdale/meter"
 	"github.com/bergamotdale/bergamotdale/peerclient"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/rationer"
 	"github.com/bergamotdale/bergamotdale/regulator"
 	"github.com/bergamotdale/bergamotdale/relayer"
 	"github.com/bergamotdale/bergamotdale/reloader"
@@ -91,6 +92,7 @@
 	tracker     *tracker.Tracker
 	dialer      *dialer.Dialer
 	gatekeeper  *gatekeeper.Gatekeeper
+	rationer    *rationer.Rationer
 	gossiper    *gossiper.Gossiper
 	quarantine  *isolator.Isolator
 	pinner      *pinner.Pinner
@@ -141,7 +143,7 @@
 		return errors.Trace(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{g.runAdmission, g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.runReloader, g.selfMonitor.Run} {
+	for _, component := range []func(context.Context) error{g.runAdmission, g.directory.Run, g.gossiper.Run, g.exchanger.Run, g.collector.Run, g.chronicler.Run, g.pinner.Run, g.evaluateEndpoints, g.mergeQuarantine, g.followMembers, g.runReloader, g.selfMonitor.Run} {
 		componentCtx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return component(componentCtx) }, func(error) { cancel() })
 	}
@@ -185,6 +187,7 @@
 	g.tracker.LiveLoad = features.LiveLoad
 	g.dialer = &dialer.Dialer{ReceiveBuffer: g.memory.ReceiveBuffer, MaxHead: int(g.Settings.Responses.MaxHead), MaxIdle: g.descriptors.IdleEndpoints, Elapsed: g.Elapsed}
 	g.gatekeeper = gatekeeper.New(g.clock)
+	g.rationer = rationer.New(g.self.ID, g.clock.Now())
 	g.selfMonitor = &selfmonitor.Monitor{Clock: g.clock, Logger: g.Logger.Named("pacer")}
 	g.gossiper = gossiper.New(gossiper.DefaultConfig(), g.self, g.clock)
 	g.gossiper.Peer, g.gossiper.Logger = peer, g.Logger.Named("gossiper")
@@ -204,6 +207,7 @@
 		OnChange: func(s *subscriber.State) {
 			g.tracker.UpdateEndpoints(g.clock.Now(), s)
 			g.gatekeeper.UpdateEndpoints(s)
+			g.rationer.UpdateEndpoints(g.clock.Now(), s)
 			g.chronicler.Observe(s)
 			g.pinner.Observe(s)
 			if s.Table != nil {
@@ -212,6 +216,7 @@
 				startupGate.Open()
 			}
 		},
+		OnRecord: g.recordReading,
 		OnBatch: func(b bergamotdale.Batch) {
 			g.chronicler.Apply(b)
 			g.replica.Apply(g.chronicler.Shared(b), g.source.Hops())
@@ -252,6 +257,8 @@
 		Locator:        locator.New(),
 		Dialer:         g.dialer,
 		Gatekeeper:     g.gatekeeper,
+		Rationer:       g.rationer,
+		OnGone:         g.spreadGone,
 		Quarantine:     g.quarantine,
 		Pins:           g.pinner,
 		Health:         g.selfMonitor,
@@ -298,6 +305,9 @@
 			func() int64 { return int64(g.gatekeeper.LeavingCount()) }},
 		{"bergamotdale.endpoints.closed", "endpoints that want no requests from this router for a time",
 			func() int64 { return int64(g.gatekeeper.ClosedCount()) }},
+		{"bergamotdale.endpoints.cold", "endpoints that are cold, or may be as they did not respond", g.coldCount},
+		{"bergamotdale.cold.turns.lost", "requests that another one of this router kept from a cold endpoint directly before the write",
+			g.rationer.LostTurns},
 		{"bergamotdale.domains.evacuated", "failure domains that the operators have evacuated",
 			func() int64 { return int64(g.directory.State().EvacuatedCount()) }},
 		{"bergamotdale.store.era", "era of the store that the state is from", g.directory.Era},
@@ -344,12 +354,14 @@
 	if g.regulator != nil {
 		g.regulator.SetMaxWaiting(s.Admission.MaxWaiting)
 	}
+	readyAge := max(minReadyAge, s.Limits.Withdrawal)
+	g.rationer.SetLimits(rationer.Limits{Excess: s.Limits.ColdExcess, Slack: s.Limits.ColdSlack, TrustedAge: readyAge})
 	if bounds, err := replicator.NewBounds(s.Limits.Withdrawal, s.Limits.Evacuation, s.Limits.Contact); err != nil {
 		g.Logger.Error("failed to apply the promises, keeping those in force", zap.Error(err))
 	} else {
 		g.source.SetBounds(bounds)
 		g.replica.SetBounds(bounds)
-		g.readyAge.Store(int64(max(minReadyAge, s.Limits.Withdrawal)))
+		g.readyAge.Store(int64(readyAge))
 	}
 	if s.Listen != g.Settings.Listen || s.ID != g.Settings.ID || s.Store != g.Settings.Store {
 		g.Logger.Warn("changed id, listen addresses or store take effect only after a restart", zap.String("store", s.Store))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,6 +24,7 @@
 	"github.com/bergamotdale/bergamotdale/gatekeeper"
 	"github.com/bergamotdale/bergamotdale/locator"
 	"github.com/bergamotdale/bergamotdale/pinner"
+	"github.com/bergamotdale/bergamotdale/rationer"
 	"github.com/bergamotdale/bergamotdale/reserver"
 	"github.com/bergamotdale/bergamotdale/retrier"
 	"github.com/bergamotdale/bergamotdale/screener"
@@ -151,6 +152,9 @@
 	Locator    *locator.Locator
 	Dialer     *dialer.Dialer
 	Gatekeeper *gatekeeper.Gatekeeper
+	Rationer   *rationer.Rationer
+	// OnGone is called for an endpoint whose port refuses connections; nil for none.
+	OnGone     func(subscriber.Endpoint)
 	Quarantine Quarantine
 	Pins       Pins
 	// Admission decides when an attempt may be sent; nil for at once.
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -64,18 +64,18 @@
 	if !route.Idempotent() || sends >= route.MaxAttempts || j.budget().Level() < 1 {
 		return nil
 	}
-	next, refusal := j.place(tried)
+	next, refusal := j.place(j.withoutCold(tried))
 	if refusal != nil || next.suspended {
 		return nil
 	}
-	conn, err := r.Dialer.Get(ctx, next.target.Address)
+	conn, err := r.dial(ctx, next.target)
 	if err != nil {
 		if ctx.Err() == nil {
 			j.suspendEndpoint(next.target, "no connection", err)
 		}
 		return nil
 	}
-	if j.recheck(next.target) != nil {
+	if j.recheck(next.target) != nil || r.needsTurn(conn, next.target) {
 		_ = conn.Close()
 		return nil
 	}
@@ -84,7 +84,7 @@
 
 // hasAlternative reports whether another endpoint is left that probably responds.
 func (j *job) hasAlternative() bool {
-	next, refusal := j.place(j.tried)
+	next, refusal := j.place(j.withoutCold(j.tried))
 	return refusal == nil && !next.suspended && j.recheck(next.target) == nil
 }
 
@@ -94,7 +94,7 @@
 		j.conn = nil
 		return conn, nil
 	}
-	return j.relayer.Dialer.Get(ctx, target.Address)
+	return j.relayer.dial(ctx, target)
 }
 
 // markTakenOver marks the failure of an attempt whose successor is already reserved.
