--- a/collector/table.go
+++ b/collector/table.go
@@ -21,6 +21,9 @@
 	collectorKey = "load-collectors"
 	// expiry is how long a report counts. It covers a few lost messages.
 	expiry = 1500 * time.Millisecond
+	// minReporters is the number of routers that must suspend an endpoint before others do.
+	// One router alone may have lost its own path to a sound endpoint.
+	minReporters = 2
 	// maxSuspended bounds the suspended endpoints in a message: 2 KB at 20 bytes an ID.
 	maxSuspended = 100
 )
@@ -85,14 +88,14 @@
 // SetOwnSuspended replaces the endpoints that the collector itself suspends.
 func (t *Table) SetOwnSuspended(suspended []string) { t.ownSuspended = suspended }
 
-// Suspended returns up to maxSuspended endpoints that the collector itself or a router
-// that reports to it suspends, ordered by ID. The reports of the router with the ID
-// except, which may be that of the collector, are left out.
+// Suspended returns up to maxSuspended endpoints that minReporters of the routers that
+// report to the collector, with itself, suspend, ordered by ID. The reports of the router
+// with the ID except, which may be that of the collector, are left out.
 func (t *Table) Suspended(now time.Time, self, except string) []string {
-	found := map[string]bool{}
+	reporters := map[string]int{}
 	if except != self {
 		for _, id := range t.ownSuspended {
-			found[id] = true
+			reporters[id]++
 		}
 	}
 	for router, r := range t.routers {
@@ -100,10 +103,11 @@
 			continue
 		}
 		for _, id := range r.suspended {
-			found[id] = true
+			reporters[id]++
 		}
 	}
-	ids := slices.Sorted(maps.Keys(found))
+	maps.DeleteFunc(reporters, func(_ string, n int) bool { return n < minReporters })
+	ids := slices.Sorted(maps.Keys(reporters))
 	return ids[:min(len(ids), maxSuspended)]
 }
 
