dialer: a connection that is put back makes way for an older one

Found by review: Get takes the idle connection that was used last. Where the router may not trust a young one, because its content is old, each request took it again and put it back, until the older one had expired too. The test fails before.

--- a/dialer/idle.go
+++ b/dialer/idle.go
@@ -11,8 +11,11 @@
 
 // Return puts back a connection over which nothing was written since Get, or only by Fetch. It
 // stays idle no longer than before, as its endpoint has seen nothing meanwhile.
+//
+// It is closed if an older one is idle: what a young connection does not prove, an older one
+// may, and the one that was used last is taken first.
 func (d *Dialer) Return(c *Conn) {
-	if remaining := c.expires - d.elapsed(); c.reused && remaining > 0 {
+	if remaining := c.expires - d.elapsed(); c.reused && remaining > 0 && !d.HasIdle(c.address, d.elapsed()-c.openedAt) {
 		d.putIdle(c, remaining+idleMargin)
 		return
 	}
