regulator, apportioner, relayer: demand is what waits and what can be true

Requests that had left the queue went on as demand until the next arrival (20 clients that left: 20/s told for ever); the new test fails before. Figures of a message that cannot be true are limited, so that a faulty router makes no other refuse. A response that a client reads slowly counts at most four times the mean processing time. An answer of another endpoint, or of one that leaves, is no lack of room. Another attempt of a request is no further demand. A request given up by a router that stops gets a time. A report of more than ten waiting requests a slot is false.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -91,6 +91,9 @@
 	busyDemand = 0.95
 	// minDemand keeps the demand of an idle router above zero, in requests a second.
 	minDemand = 1e-3
+	// maxSample limits how far a request may exceed the mean processing time and still count
+	// in full. With a spread of 0.5 (log-normal), one in 400 takes over four times the mean.
+	maxSample = 4
 	// minWork is the least processing time, in seconds, that is told apart.
 	minWork = 1e-3
 )
@@ -431,7 +434,8 @@
 	}
 	duration := now.Sub(f.startedAt).Seconds()
 	if outcome == Served && duration > 0 {
-		sample := max(minWork, duration/f.slowdown)
+		// The time includes the client's reading, which may take as long as the request may.
+		sample := min(max(minWork, duration/f.slowdown), maxSample*s.ownWork)
 		weight := slowerWeight
 		if sample < s.ownWork {
 			weight = fasterWeight
--- a/collector/demands.go
+++ b/collector/demands.go
@@ -36,10 +36,19 @@
 	d.Services[service] = sum
 }
 
-// Of returns the demand for a service.
+// maxRequests and maxWork limit the demand for a service: requests a second, and their
+// processing time in seconds. Larger figures in a message of another router cannot be true.
+const (
+	maxRequests = 1e6
+	maxWork     = 3600
+)
+
+// Of returns the demand for a service. It is finite and not negative, whatever other routers
+// have sent.
 func (d Demands) Of(service string) (requests, work float64) {
 	sum := d.Services[service]
-	return float64(sum[0]) / 1000, float64(sum[1]) / 1000
+	requests = min(max(0, float64(sum[0])/1000), maxRequests)
+	return requests, min(max(0, float64(sum[1])/1000), requests*maxWork)
 }
 
 // plus returns the sum, with other multiplied by factor, 1 or -1. Values below zero
--- a/collector/demands_test.go
+++ b/collector/demands_test.go
@@ -71,3 +71,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), `{"router":"r"}`)
 }
+
+// Guards against the demand of a faulty router that makes all others refuse what they could
+// serve, or that is no number.
+func TestImpossibleDemandIsLimited(t *testing.T) {
+	for _, pair := range [][2]int64{{1, 1 << 62}, {1 << 62, 1 << 62}, {-5000, -1}, {-1 << 62, 5}, {0, 7}} {
+		requests, work := collector.Demands{Services: map[string][2]int64{"s": pair}}.Of("s")
+		assert.Assert(t, requests >= 0 && requests <= 1e6 && work >= 0 && work <= 3600*requests, "%v: %g requests, %g s", pair, requests, work)
+	}
+}
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -39,8 +39,8 @@
 	// maxSlowdown is the largest slowdown in a valid report, and its inverse the
 	// smallest.
 	maxSlowdown = 10
-	// runningPerSlot is the number of running requests for each slot from which a
-	// report is false.
+	// runningPerSlot is the number of running, or of waiting, requests for each slot from
+	// which a report is false.
 	runningPerSlot = 10
 	// eventTimeWeight is the weight of the latest value in the mean time per event.
 	eventTimeWeight = 1.0 / 8
@@ -105,7 +105,7 @@
 	switch {
 	case load.Slots != slots || slots <= 0:
 		return errors.Annotatef(ErrFalseReport, "%d slots instead of %d", load.Slots, slots)
-	case load.Running < 0 || load.Waiting < 0 || load.Running > slots*runningPerSlot:
+	case load.Running < 0 || load.Waiting < 0 || max(load.Running, load.Waiting) > slots*runningPerSlot:
 		return errors.Annotatef(ErrFalseReport, "%d running and %d waiting in %d slots", load.Running, load.Waiting, slots)
 	case s != 0 && !(s >= 1.0/maxSlowdown && s <= maxSlowdown):
 		return errors.Annotatef(ErrFalseReport, "slowdown of %g", s)
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -184,7 +184,7 @@
 			others[c] = true
 		}
 	}
-	left := 1 - minShare*float64(len(others))
+	left := max(minShare, 1-minShare*float64(len(others)))
 	ahead := float64(before + min(same, q.fairlyAhead(now, r, own, pace)) + 1)
 	if wait := seconds(ahead / (pace.Rate * left)); !own.late && (r.Objective.IsZero() || !now.Add(wait+pace.Duration).After(r.Objective)) {
 		return wait
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -222,8 +222,10 @@
 	refusal := bergamotdale.Refuse(bergamotdale.CodeWaitTooLong, "the request was given up while it waited for service %s", s.name)
 	if errors.Is(cause, context.DeadlineExceeded) {
 		s.refuse(now, w, refusal)
+		return w.refusal
 	}
-	return refusal
+	// The client has left, or the router stops and the client may go to another one.
+	return refusal.After(fallbackRetryAfter)
 }
 
 // learn takes over what a response says about its service.
@@ -340,6 +342,8 @@
 	now := r.Clock.Now()
 	d := collector.Demands{Covers: 1}
 	for name, s := range r.services {
+		// Requests that have left the queue since the last update are no demand.
+		s.update(now, 0)
 		if requests, work := s.share.Demand(now); s.governs(now) && requests >= minReported {
 			d.Add(name, requests, work)
 		}
--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/bergamotdale/bergamotdale"
 	"github.com/bergamotdale/bergamotdale/collector"
@@ -166,3 +167,30 @@
 	requests, work := r.Demands().Of("s")
 	assert.Assert(t, requests > 0 && work > 0)
 }
+
+// Guards against requests that no longer wait and are told to the fleet as demand, which
+// takes from the shares of all other routers.
+func TestRequestsThatLeftAreNoDemand(t *testing.T) {
+	r, loads := newRegulator(t)
+	releases := fill(t, r, loads)
+	ctx, leave := context.WithCancel(context.Background())
+	var waiting sync.WaitGroup
+	const waiters = 20
+	for i := range waiters {
+		waiting.Go(func() { _, _ = r.Acquire(ctx, request(fmt.Sprint("waiter-", i), time.Hour)) })
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.WaitingCount() == waiters {
+			return poll.Success()
+		}
+		return poll.Continue("%d requests wait", r.WaitingCount())
+	}, poll.WithDelay(time.Millisecond))
+	with := r.Demands().Services["s"][0]
+	leave()
+	waiting.Wait()
+	without := r.Demands().Services["s"][0]
+	assert.Assert(t, without <= with-1000*waiters/2, "%d thousandths a second with %d waiting requests, %d without", with, waiters, without)
+	for _, release := range releases {
+		release(bergamotdale.AdmissionResult{Endpoint: "e0"})
+	}
+}
--- a/regulator/service.go
+++ b/regulator/service.go
@@ -80,7 +80,10 @@
 // submit lets a request go, queues or refuses it.
 func (s *service) submit(now time.Time, w *waiter) {
 	s.recordObjective(now, w.request.Objective)
-	s.share.Arrive(now)
+	if len(w.request.Tried) == 0 {
+		// Another attempt of a request is no further demand.
+		s.share.Arrive(now)
+	}
 	s.update(now, 0)
 	if s.queue.Len() == 0 || w.request.Immediate {
 		if f := s.share.Start(now, w.request.Tried, w.request.Immediate); f != nil {
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -15,6 +15,9 @@
 	endpoint atomic.Pointer[string]
 	// reportsLoad is set once the endpoint has reported its load.
 	reportsLoad bool
+	// misplaced is set if the request was not executed for another reason than a lack of
+	// room: another endpoint answered, or the endpoint leaves.
+	misplaced bool
 }
 
 // prefer returns the index of the endpoint that has room, or index if that one is not
@@ -36,7 +39,7 @@
 		return func(*failure, *bergamotdale.Refusal) {}, nil
 	}
 	j.admission.endpoint.Store(nil)
-	j.admission.reportsLoad = false
+	j.admission.reportsLoad, j.admission.misplaced = false, false
 	release, refusal := j.relayer.Admission.Acquire(ctx, bergamotdale.AdmissionRequest{
 		Service:   j.service,
 		RequestID: j.envelope.RequestID,
@@ -56,7 +59,7 @@
 	return func(f *failure, refused *bergamotdale.Refusal) {
 		result := bergamotdale.AdmissionResult{Endpoint: j.choice.target.ID, ReportsLoad: j.admission.reportsLoad}
 		switch {
-		case refused != nil, f != nil && !f.sent:
+		case refused != nil, f != nil && (!f.sent || j.admission.misplaced):
 			result.Outcome = bergamotdale.AdmissionUnsent
 		case f != nil && f.refusal.Code == bergamotdale.CodeEndpointRefused:
 			result.Outcome = bergamotdale.AdmissionRejected
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -189,6 +189,7 @@
 	j.relayer.observeCold(target, status, j.enteredAt, info)
 	switch {
 	case info.NotExecuted:
+		j.admission.misplaced = status == http.StatusMisdirectedRequest || info.Leaving
 		j.skipRefusalBody(target, exchange)
 		return &failure{sent: true, refusal: bergamotdale.Refuse(bergamotdale.CodeEndpointRefused,
 			"endpoint %s refused the request with status %d", target.ID, status).After(refusedRetryAfter)}
