--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -28,6 +28,7 @@
 func (g *Gateway) boundClients(s *server.Server) error {
 	s.SetMaxConns(g.servedConnections())
 	s.SetMaxOpen(g.memory.Connections)
+	s.LimitStreams()
 	s.SetRelieve(func() bool { return g.reserver.DropSlowest(g.clock.Now()) })
 	return errors.Trace(s.SetBuffers(g.memory.ReceiveBuffer, maxUnsent))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -83,9 +83,19 @@
 
 // SetMaxConns sets the largest number of connections that are served, zero for no limit.
 // When it is reached, a new connection ends the one that has been at rest for longest. If
-// none is at rest, the new one is in excess; see IsExcess.
+// none is at rest and the function of SetRelieve frees none, the new one is in excess; see
+// IsExcess.
 func (s *Server) SetMaxConns(n int) { s.maxConns.Store(int64(n)) }
 
+// LimitStreams bounds what an HTTP/2 connection may hold, for clients that the operators do
+// not control. It is called before Run.
+func (s *Server) LimitStreams() {
+	s.http.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrame,
+		MaxReceiveBufferPerConnection: maxStreamBuffer, MaxReceiveBufferPerStream: maxStreamBuffer,
+	}
+}
+
 // SetMaxOpen sets the largest number of connections that are open, with those in excess,
 // zero for no limit. When it is reached, new ones are closed at once.
 func (s *Server) SetMaxOpen(n int) { s.maxOpen.Store(int64(n)) }
@@ -174,12 +184,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       defaultIdleTimeout,
 		Protocols:         protocols,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrame,
-			MaxReceiveBufferPerConnection: maxStreamBuffer, MaxReceiveBufferPerStream: maxStreamBuffer,
-		},
-		ErrorLog:  zap.NewStdLog(logger.Named(name)),
-		ConnState: s.recordState,
+		ErrorLog:          zap.NewStdLog(logger.Named(name)),
+		ConnState:         s.recordState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
