relayer: the request of TestUnreadResponseEnds has time for its first byte

Traced: the request had 300 ms for all, and its endpoint first made a body of 32 MiB in them, so that on a busy machine the deadline came before the beginning of the response.

--- a/relayer/hold_test.go
+++ b/relayer/hold_test.go
@@ -184,15 +184,16 @@
 // and against a cut response that looks complete.
 func TestUnreadResponseEnds(t *testing.T) {
 	const size = 32 << 20
+	body := strings.Repeat("x", size)
 	e := startEndpoint(t, func(_ int, r *http.Request, c net.Conn) bool {
-		return writeResponse(c, r, http.StatusOK, strings.Repeat("x", size))
+		return writeResponse(c, r, http.StatusOK, body)
 	})
 	r := newRelayer(t, atMostOnceRoute, e)
 	reports := make(chan relayer.Report, 1)
 	r.OnFinished = func(report relayer.Report) { reports <- report }
 	r.StartupGate.Open()
 	server := serve(t, r)
-	_, reader := send(t, server, "unread", "Content-Length: 2\r\nX-Left: 300", []byte("ab"))
+	_, reader := send(t, server, "unread", "Content-Length: 2\r\nX-Left: 3000", []byte("ab"))
 	response, err := http.ReadResponse(reader, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
