dialer: the endpoint of TestBodyInParts accepts more than one connection

Traced by reading: a response may be complete before the goroutine that writes a long request has reported its end, so the connection is not used again (Exchange.finish); the endpoint of the test accepted one connection only.

--- a/dialer/parts_test.go
+++ b/dialer/parts_test.go
@@ -25,22 +25,14 @@
 	defer listener.Close()
 	bodies := make(chan []byte, 1)
 	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		for reader := bufio.NewReader(c); ; {
-			r, err := http.ReadRequest(reader)
+		// A response may be complete before the dialer knows that all of its request is
+		// written; the next request then comes on another connection.
+		for {
+			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			body, err := io.ReadAll(r.Body)
-			if err != nil || r.Method == http.MethodPost && r.ContentLength != int64(len(body)) {
-				return
-			}
-			bodies <- body
-			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			go answerBodies(c, bodies)
 		}
 	}()
 	d := &dialer.Dialer{}
@@ -66,3 +58,20 @@
 		}
 	}
 }
+
+// answerBodies answers the requests on a connection and passes on their bodies.
+func answerBodies(c net.Conn, bodies chan<- []byte) {
+	defer c.Close()
+	for reader := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || r.Method == http.MethodPost && r.ContentLength != int64(len(body)) {
+			return
+		}
+		bodies <- body
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
